--- /dev/null
+++ b/internal/core/effect.go
@@ -0,0 +1,184 @@
+package core
+
+import (
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/worker"
+)
+
+// Effect is one output of the reducer, carried out by the driver. Exactly one
+// field is set.
+type Effect struct {
+	Append  *Append        `json:"append,omitempty"`
+	Send    *Send          `json:"send,omitempty"`
+	Watch   *Watch         `json:"watch,omitempty"`
+	Start   *Start         `json:"start,omitempty"`
+	Query   *Query         `json:"query,omitempty"`
+	Control *Control       `json:"control,omitempty"`
+	Answer  *Answer        `json:"answer,omitempty"`
+	Publish *PublishAnswer `json:"publish,omitempty"`
+	Status  *StatusAnswer  `json:"status,omitempty"`
+	Count   *Count         `json:"count,omitempty"`
+	Observe *Observe       `json:"observe,omitempty"`
+	Change  *Change        `json:"change,omitempty"`
+	Ready   *Ready         `json:"ready,omitempty"`
+	Exit    *Exit          `json:"exit,omitempty"`
+}
+
+// Append adds one batch to a stream. Its result is an Appended event.
+type Append struct {
+	Stream  string `json:"stream"`
+	Batch   string `json:"batch"`
+	Payload []byte `json:"payload"`
+}
+
+// Send sends a message to a peer. Its result is a Sent event.
+type Send struct {
+	To   model.Member `json:"to"`
+	ID   string       `json:"id"`
+	Body message.Body `json:"body"`
+}
+
+// Watch makes one watch call to a worker. Its result is a Watched event.
+type Watch struct {
+	Worker  model.WorkerName    `json:"worker"`
+	Address string              `json:"address"`
+	Request worker.WatchRequest `json:"request"`
+}
+
+// Start makes one start call to a worker. Its result is a Started event.
+type Start struct {
+	Worker  model.WorkerName    `json:"worker"`
+	Address string              `json:"address"`
+	Request worker.StartRequest `json:"request"`
+}
+
+// Query asks a worker about a task. Its result is a Queried event.
+type Query struct {
+	Worker  model.WorkerName `json:"worker"`
+	Address string           `json:"address"`
+	Epoch   uint64           `json:"epoch"`
+	Task    model.TaskID     `json:"task"`
+}
+
+// Control makes one control call to a worker. Its result is a Controlled event.
+type Control struct {
+	Worker  model.WorkerName      `json:"worker"`
+	Address string                `json:"address"`
+	Request worker.ControlRequest `json:"request"`
+}
+
+// Answer answers a caller's request.
+type Answer struct {
+	Request model.RequestID `json:"request"`
+	Answer  model.Answer    `json:"answer"`
+}
+
+// PublishAnswer answers a publisher.
+type PublishAnswer struct {
+	Request  model.RequestID `json:"request"`
+	Accepted bool            `json:"accepted"`
+	Version  uint64          `json:"version"` // the version in force
+	Code     model.Code      `json:"code,omitempty"`
+}
+
+// StatusAnswer answers a status request.
+type StatusAnswer struct {
+	Request model.RequestID `json:"request"`
+	Report  StatusReport    `json:"report"`
+}
+
+// Count adds N to a counter.
+type Count struct {
+	Name  string `json:"name"`            // metric name without prefix
+	Label string `json:"label,omitempty"` // value of the metric's only label
+	N     int    `json:"n"`
+}
+
+// Observe adds a value to a histogram.
+type Observe struct {
+	Name    string  `json:"name"`
+	Label   string  `json:"label,omitempty"`
+	Seconds float64 `json:"seconds"`
+}
+
+// Change reports a change of state, for the log.
+type Change struct {
+	What string `json:"what"`           // for example "lease taken"
+	Subj string `json:"subj,omitempty"` // what it concerns
+	From string `json:"from,omitempty"`
+	To   string `json:"to,omitempty"`
+}
+
+// Ready sets the readiness of the instance.
+type Ready struct {
+	Ready  bool       `json:"ready"`
+	Reason model.Code `json:"reason,omitempty"`
+}
+
+// Exit says that the instance has drained and may stop.
+type Exit struct{}
+
+// StatusReport is the operators' view of one instance and its data centre.
+type StatusReport struct {
+	Self        model.Member   `json:"self"`
+	Ready       bool           `json:"ready"`
+	Draining    bool           `json:"draining,omitempty"`
+	TextVersion uint64         `json:"text_version"`
+	TextHash    uint64         `json:"text_hash"`
+	Epoch       uint64         `json:"epoch"`
+	Owner       *model.Member  `json:"owner,omitempty"`
+	Acting      bool           `json:"acting"` // this instance places tasks
+	Settled     bool           `json:"settled"`
+	LogOK       bool           `json:"log_ok"`
+	Members     []MemberStatus `json:"members"`
+	Workers     []WorkerStatus `json:"workers,omitempty"` // only at the owner
+	Queues      []QueueStatus  `json:"queues,omitempty"`
+	Services    []ServiceState `json:"services,omitempty"`
+	Jobs        []JobForecast  `json:"jobs,omitempty"` // batch jobs that are at risk or the largest
+	Keys        int            `json:"keys"`
+	InDoubt     int            `json:"in_doubt"`
+}
+
+// MemberStatus is one other instance.
+type MemberStatus struct {
+	Member model.Member `json:"member"`
+	Alive  bool         `json:"alive"`
+	Owner  bool         `json:"owner,omitempty"`
+}
+
+// WorkerStatus is one worker.
+type WorkerStatus struct {
+	Name        model.WorkerName `json:"name"`
+	Rack        string           `json:"rack"`
+	Capacity    model.Resources  `json:"capacity"`
+	Used        model.Resources  `json:"used"`
+	Tasks       int              `json:"tasks"`
+	Reachable   bool             `json:"reachable"`
+	Leaving     bool             `json:"leaving,omitempty"`
+	Quarantined bool             `json:"quarantined,omitempty"`
+}
+
+// QueueStatus is one queue.
+type QueueStatus struct {
+	Class   model.Class `json:"class"`
+	Waiting int         `json:"waiting"`
+	Running int         `json:"running"`
+}
+
+// ServiceState is one long-running service in this data centre.
+type ServiceState struct {
+	Name    string     `json:"name"`
+	Want    int        `json:"want"`
+	Running int        `json:"running"`
+	Held    model.Code `json:"held,omitempty"` // why instances are not started
+}
+
+// JobForecast is the forecast of a batch job.
+type JobForecast struct {
+	Job      model.JobID      `json:"job"`
+	Counts   model.TaskCounts `json:"counts"`
+	Deadline string           `json:"deadline"` // RFC 3339
+	Forecast string           `json:"forecast"` // RFC 3339
+	AtRisk   bool             `json:"at_risk,omitempty"`
+}
