--- /dev/null
+++ b/internal/core/config.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Config is fixed for the life of an instance.
+type Config struct {
+	Self   model.Member                  `json:"self"`
+	Seed   uint64                        `json:"seed"`  // for jitter
+	Seeds  map[model.DataCentre][]string `json:"seeds"` // peer addresses to try before the VM list is known
+	Timing Timing                        `json:"timing"`
+	Limits Limits                        `json:"limits"`
+}
+
+// Timing holds every duration that the reducer uses.
+type Timing struct {
+	Tick         time.Duration `json:"tick"`          // the driver's tick interval
+	Heartbeat    time.Duration `json:"heartbeat"`     // between peers of one data centre
+	FarHeartbeat time.Duration `json:"far_heartbeat"` // between data centres
+	Lease        time.Duration `json:"lease"`         // how long evidence lets an owner act
+	Margin       time.Duration `json:"margin"`        // added by a claimant; covers clock-rate drift
+	Suspect      time.Duration `json:"suspect"`       // silence after which the owner is suspected
+	ConsentAfter time.Duration `json:"consent_after"` // a claim goes ahead without a majority's consent after this
+	WatchWait    time.Duration `json:"watch_wait"`    // a worker's answer is delayed at most this long
+	TaskLease    time.Duration `json:"task_lease"`    // a worker stops tasks whose lease was not renewed for this long
+	StartGrace   time.Duration `json:"start_grace"`   // not-after time of a start
+	GroupCommit  time.Duration `json:"group_commit"`  // intents and accepts wait at most this long for company
+	LazyCommit   time.Duration `json:"lazy_commit"`   // outcomes and progress wait at most this long
+	Retention    time.Duration `json:"retention"`     // of the platform's log
+	KeyLife      time.Duration `json:"key_life"`      // how long an outcome is remembered under its key
+}
+
+// Limits bounds the memory of an instance.
+type Limits struct {
+	Waiting      int           `json:"waiting"`       // interactive requests and key requests in the queue
+	Jobs         int           `json:"jobs"`          // accepted jobs that are not finished
+	Undurable    int           `json:"undurable"`     // submissions that wait for the log
+	InDoubt      int           `json:"in_doubt"`      // intents with an unknown outcome before new keys are refused
+	Hops         int           `json:"hops"`          // forwards of one request
+	FarPeers     int           `json:"far_peers"`     // instances of each other data centre that get heartbeats
+	RetryPercent int           `json:"retry_percent"` // retries per hundred first attempts, for each service
+	TaskAttempts int           `json:"task_attempts"` // attempts of a task when the text gives none
+	MaxDeadline  time.Duration `json:"max_deadline"`  // of an interactive request
+}
+
+// DefaultTiming returns the timing of a production instance.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick:         20 * time.Millisecond,
+		Heartbeat:    200 * time.Millisecond,
+		FarHeartbeat: time.Second,
+		// Lease and Suspect together with Margin and one log round trip keep a
+		// takeover below 3 s, so that urgent work still starts within 3.1 s.
+		Lease:        time.Second,
+		Margin:       200 * time.Millisecond,
+		Suspect:      800 * time.Millisecond,
+		ConsentAfter: 2 * time.Second,
+		// WatchWait bounds idle traffic to one call per worker and interval,
+		// and stays well below TaskLease, so that two lost calls stop no task.
+		WatchWait:   3 * time.Second,
+		TaskLease:   12 * time.Second,
+		StartGrace:  time.Second,
+		GroupCommit: 5 * time.Millisecond,
+		LazyCommit:  500 * time.Millisecond,
+		Retention:   time.Hour,
+		KeyLife:     24 * time.Hour,
+	}
+}
+
+// DefaultLimits returns the limits of a production instance.
+func DefaultLimits() Limits {
+	return Limits{
+		Waiting:      20000,
+		Jobs:         50000,
+		Undurable:    2000,
+		InDoubt:      2000,
+		Hops:         3,
+		FarPeers:     2,
+		RetryPercent: 10,
+		TaskAttempts: 3,
+		MaxDeadline:  5 * time.Minute,
+	}
+}
