--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,40 @@
+// Package burn computes how fast services spend the error budget of their
+// declared service levels, over several windows at once. A burn rate of 1
+// spends exactly the budget within the compliance window.
+package burn
+
+// Report is the burn of every service with a declared service level.
+type Report struct {
+	Services []ServiceReport `json:"services"`
+}
+
+// ServiceReport is the burn of one service.
+type ServiceReport struct {
+	Service    string       `json:"service"`
+	Objective  float64      `json:"objective"`
+	Latency    string       `json:"latency,omitempty"` // a slower answer counts as bad
+	Alerts     []AlertState `json:"alerts"`
+	Compliance Compliance   `json:"compliance"`
+}
+
+// AlertState is one pair of windows. The pair fires if the burn rates of both
+// are at least Threshold: the long window shows that the loss matters, the
+// short one that it still goes on.
+type AlertState struct {
+	Name      string  `json:"name"` // "fast" or "slow"
+	Long      string  `json:"long"`
+	Short     string  `json:"short"`
+	LongRate  float64 `json:"long_rate"`
+	ShortRate float64 `json:"short_rate"`
+	Threshold float64 `json:"threshold"`
+	Firing    bool    `json:"firing"`
+}
+
+// Compliance is the state of the whole compliance window.
+type Compliance struct {
+	Window     string  `json:"window"`
+	Good       uint64  `json:"good"`
+	Bad        uint64  `json:"bad"`
+	Rate       float64 `json:"rate"`        // burn rate
+	BudgetLeft float64 `json:"budget_left"` // fraction of the error budget; negative when overspent
+}
