--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -42,7 +42,9 @@
 	switch to.Kind() {
 	case reflect.Pointer:
 		to.Set(reflect.New(to.Type().Elem()))
-		d.value(v, path, to.Elem())
+		if d.value(v, path, to.Elem()); d.unread[path] {
+			to.SetZero()
+		}
 	case reflect.Struct, reflect.Map:
 		d.object(v, path, to)
 	case reflect.Slice:
--- a/internal/jsonc/doc.go
+++ b/internal/jsonc/doc.go
@@ -69,7 +69,9 @@
 		return nil
 	}
 	list := slices.Clone(d.errs)
-	slices.SortStableFunc(list, func(a, b Error) int { return cmp.Compare(a.Line, b.Line) })
+	slices.SortStableFunc(list, func(a, b Error) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Path, b.Path))
+	})
 	return &Errors{List: list}
 }
 
--- a/internal/servicetext/fields.go
+++ b/internal/servicetext/fields.go
@@ -10,7 +10,7 @@
 )
 
 func (c *checker) name(path, name string) {
-	if c.Require(path) && !nameForm.MatchString(name) {
+	if c.Require(path) && !ValidName(name) {
 		c.Addf(jsonc.CodeBadName, path, "%q is not a name: use 1 to 63 lower-case letters, digits and inner hyphens", name)
 	}
 }
--- a/internal/servicetext/servicetext.go
+++ b/internal/servicetext/servicetext.go
@@ -51,6 +51,10 @@
 // id starts with a data centre's name and a slash, so names hold no slash.
 var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+// ValidName reports whether a string may name a service, team, data centre or
+// VM.
+func ValidName(s string) bool { return nameForm.MatchString(s) }
+
 // The wire types are the published format. They are apart from the model, so
 // that a change of the model can't change what operators write.
 type wireText struct {
