--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -23,6 +23,15 @@
 	Change  *Change        `json:"change,omitempty"`
 	Ready   *Ready         `json:"ready,omitempty"`
 	Exit    *Exit          `json:"exit,omitempty"`
+	Text    *TextInForce   `json:"text,omitempty"`
+}
+
+// TextInForce tells the driver which service text is in force.
+type TextInForce struct {
+	Version uint64 `json:"version"`
+	Hash    uint64 `json:"hash"`
+	ID      string `json:"id"`
+	Text    []byte `json:"text"`
 }
 
 // Append adds one batch to a stream. Its result is an Appended event.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -116,6 +116,7 @@
 
 // Forward hands a caller's request to another instance.
 type Forward struct {
+	Origin     model.Member     `json:"origin"`  // instance that the caller called; the reply goes there
 	Request    model.RequestID  `json:"request"` // id at the instance that the caller called
 	Kind       ForwardKind      `json:"kind"`
 	Submission model.Submission `json:"submission"`
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -69,10 +69,16 @@
 
 // Progress records finished tasks of a job, in groups.
 type Progress struct {
-	Epoch  uint64      `json:"epoch"`
-	Job    model.JobID `json:"job"`
-	Done   []int       `json:"done,omitempty"` // task indexes
-	Failed []int       `json:"failed,omitempty"`
+	Epoch  uint64       `json:"epoch"`
+	Job    model.JobID  `json:"job"`
+	Done   []TaskResult `json:"done,omitempty"`
+	Failed []TaskResult `json:"failed,omitempty"`
+}
+
+// TaskResult is the end of one task of a job.
+type TaskResult struct {
+	Index  int    `json:"index"`
+	Result []byte `json:"result,omitempty"` // or the message of a failure
 }
 
 // Finish records the end of a job.
@@ -106,11 +112,12 @@
 
 // Outcome records what became of an intent.
 type Outcome struct {
-	Epoch   uint64       `json:"epoch"`
-	Service string       `json:"service"`
-	Key     model.Key    `json:"key"`
-	Attempt int          `json:"attempt"`
-	Answer  model.Answer `json:"answer"`
+	Epoch       uint64       `json:"epoch"`
+	Service     string       `json:"service"`
+	Key         model.Key    `json:"key"`
+	RequestHash uint64       `json:"request_hash"`
+	Attempt     int          `json:"attempt"`
+	Answer      model.Answer `json:"answer"`
 }
 
 // Snapshot carries still needed state of a data centre's stream forward, so
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -17,7 +17,7 @@
 	Epoch uint64        `json:"epoch"`
 	After uint64        `json:"after"`    // Seq of the last report; zero asks for every known task
 	Boot  string        `json:"boot"`     // Boot of the last report; another boot answers with a full report
-	Lease time.Duration `json:"lease_ns"` // renews the leases of all running tasks to this
+	Lease time.Duration `json:"lease_ns"` // renews the leases of all running tasks to this; zero leaves them as they are
 	Wait  time.Duration `json:"wait_ns"`  // how long to wait for a change
 }
 
