Reducer: routing, admission, ownership glue, intents, workers, services

Requests are forwarded by job id until the home answers; non-idempotent starts wait for their intent to be read back; the owner's state is built from the log and from workers' reports.

--- /dev/null
+++ b/internal/core/calls.go
@@ -0,0 +1,376 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// call is a caller's request at the instance that received it. The instance
+// forwards it to the owner of its home data centre, again and again until it
+// has an answer: a forward may be repeated, since the job id is the same.
+type call struct {
+	id        model.RequestID
+	kind      message.ForwardKind
+	sub       model.Submission
+	job       model.JobID
+	home      model.DataCentre
+	deadline  model.Time // the caller gets an answer by then
+	movable   bool       // idempotent work without a key: may go to another data centre
+	keyed     bool       // non-idempotent
+	accepted  bool       // the owner has said that the job is durable
+	target    model.Incarnation
+	message   string           // id of the last forward
+	delivered bool             // the target may have taken a forward of this job id
+	maybe     bool             // an earlier target may have run it
+	tried     []model.DataCentre
+	misses    int // forwards in a row that certainly were not delivered
+	nextSend  model.Time
+}
+
+const (
+	// forwardRepeat is how often an unanswered forward is repeated. A lost
+	// reply then costs at most this long.
+	forwardRepeat = time.Second
+	// noOwnerRetry is how soon a call is routed again when its data centre has
+	// no owner: a small part of the time that a takeover takes.
+	noOwnerRetry = 50 * time.Millisecond
+	// acceptWait is how long a caller waits for a job to be accepted.
+	acceptWait = 10 * time.Second
+	// unreachableMisses is the number of forwards in a row that were certainly
+	// not delivered after which a home counts as out of reach.
+	unreachableMisses = 3
+)
+
+// onCall checks a caller's request and routes it.
+func (c *Core) onCall(ev *Call) {
+	c.wall = ev.Wall
+	cl := &call{id: ev.Request, kind: ev.Kind, sub: ev.Submission, job: ev.Job}
+	if code, msg := c.checkCall(cl, ev); code != model.CodeNone {
+		c.count("calls_refused", string(code), 1)
+		c.answerCaller(ev.Request, notRun(ev.Job, code, msg))
+		return
+	}
+	c.count("calls", string(ev.Kind), 1)
+	c.calls[cl.id] = cl
+	c.route(cl)
+}
+
+// checkCall validates a call and fills in its job id, home and deadline.
+func (c *Core) checkCall(cl *call, ev *Call) (model.Code, string) {
+	if c.text == nil {
+		return model.CodeNotReady, "this instance has no service text yet"
+	}
+	if c.draining {
+		return model.CodeDraining, "this instance is shutting down; repeat the request"
+	}
+	if cl.kind == message.ForwardQuery || cl.kind == message.ForwardCancel {
+		cl.home = jobHome(cl.job)
+		if !c.knownDataCentre(cl.home) {
+			return model.CodeJobNotFound, "the job id names no known data centre"
+		}
+		cl.deadline = c.now.Add(ev.Wait + forwardRepeat + 2*time.Second)
+		if ev.Wait == 0 {
+			cl.deadline = c.now.Add(acceptWait)
+		}
+		cl.sub.Deadline = ev.Wait
+		return model.CodeNone, ""
+	}
+	return c.checkSubmission(cl, ev)
+}
+
+// checkSubmission validates new work.
+func (c *Core) checkSubmission(cl *call, ev *Call) (model.Code, string) {
+	s := &cl.sub
+	svc := c.text.Service(s.Service)
+	if svc == nil {
+		return model.CodeUnknownService, fmt.Sprintf("the text in force (version %d) has no service %q", c.textV, s.Service)
+	}
+	if svc.Class == model.ClassService {
+		return model.CodeBadRequest, "a service of class \"service\" is started by the text, not by requests"
+	}
+	if svc.MaxBodyBytes > 0 && int64(len(s.Body)) > svc.MaxBodyBytes {
+		return model.CodeBodyTooLarge, fmt.Sprintf("the body has %d bytes; service %q takes %d", len(s.Body), s.Service, svc.MaxBodyBytes)
+	}
+	s.Tasks = max(s.Tasks, 1)
+	if s.Tasks > maxTasks {
+		return model.CodeBadRequest, fmt.Sprintf("a job has at most %d tasks", maxTasks)
+	}
+	if s.Tasks > 1 && (svc.Class == model.ClassInteractive || !svc.Idempotent) {
+		return model.CodeBadRequest, "interactive and non-idempotent work has one task"
+	}
+	if !svc.Idempotent && s.Key == "" {
+		return model.CodeKeyRequired, fmt.Sprintf("service %q is not idempotent: give a key", s.Service)
+	}
+	if s.Deadline <= 0 {
+		s.Deadline = svc.Deadline
+	}
+	c.place(cl, svc, ev.Wait)
+	return model.CodeNone, ""
+}
+
+// maxTasks bounds the memory that one job takes.
+const maxTasks = 10000
+
+// place chooses the home, the job id and the deadline of new work.
+func (c *Core) place(cl *call, svc *model.Service, wait time.Duration) {
+	cl.keyed = !svc.Idempotent
+	cl.home = c.cfg.Self.DataCentre
+	if cl.sub.Key != "" {
+		cl.home = home(c.text.DataCentres, svc.Name, string(cl.sub.Key))
+		cl.job = keyedJobID(cl.home, svc.Name, cl.sub.Key)
+	} else {
+		cl.job = c.freshJobID(cl.home)
+	}
+	interactive := svc.Class == model.ClassInteractive && cl.kind == message.ForwardRequest
+	cl.movable = interactive && svc.Idempotent && cl.sub.Key == ""
+	switch {
+	case interactive || cl.keyed:
+		cl.deadline = c.now.Add(min(cl.sub.Deadline, c.cfg.Limits.MaxDeadline))
+	case cl.kind == message.ForwardJob:
+		cl.deadline = c.now.Add(acceptWait)
+	default:
+		cl.deadline = c.now.Add(c.cfg.Limits.MaxDeadline)
+	}
+	if wait > 0 {
+		cl.deadline = min(cl.deadline, c.now.Add(wait))
+	}
+}
+
+// route hands a call to the owner of its home, directly or by a forward.
+func (c *Core) route(cl *call) {
+	cl.nextSend = c.now.Add(forwardRepeat)
+	if cl.home == c.cfg.Self.DataCentre {
+		c.routeNear(cl)
+		return
+	}
+	if m, _, ok := c.view.FarOwner(c.now, cl.home); ok {
+		c.forward(cl, m)
+		return
+	}
+	peers := c.view.FarPeer(c.now, cl.home)
+	if len(peers) == 0 {
+		c.unreachable(cl)
+		return
+	}
+	c.forward(cl, peers[cl.misses%len(peers)])
+}
+
+// routeNear hands a call to the owner of the own data centre.
+func (c *Core) routeNear(cl *call) {
+	if c.acting() {
+		c.retarget(cl, c.cfg.Self.Incarnation)
+		cl.delivered = true
+		c.admit(cl.forwardMessage(c.cfg.Self, 0, c.now))
+		return
+	}
+	m, ok := c.lease.Owner()
+	if ok && m.Incarnation != c.cfg.Self.Incarnation {
+		c.forward(cl, m)
+		return
+	}
+	c.count("calls_without_owner", "", 1)
+	if cl.movable && c.moveElsewhere(cl) {
+		return
+	}
+	cl.nextSend = c.now.Add(noOwnerRetry)
+}
+
+// retarget notes that the call goes to another instance than before. If the
+// former one may have taken it, "not run" from the new one proves nothing for
+// work that leaves no trace in the log.
+func (c *Core) retarget(cl *call, inc model.Incarnation) {
+	if cl.target != inc && cl.target != "" && cl.delivered {
+		cl.maybe = true
+		cl.delivered = false
+	}
+	cl.target = inc
+}
+
+// forward sends a call to an instance.
+func (c *Core) forward(cl *call, to model.Member) {
+	c.retarget(cl, to.Incarnation)
+	cl.message = c.send(to, message.Body{Forward: cl.forwardMessage(c.cfg.Self, 1, c.now)})
+	// Until the transport says that the message was not sent, it may have been.
+	cl.delivered = true
+}
+
+func (cl *call) forwardMessage(self model.Member, hops int, now model.Time) *message.Forward {
+	return &message.Forward{
+		Origin: self, Request: cl.id, Kind: cl.kind, Submission: cl.sub, Job: cl.job,
+		Hops: hops, Remaining: int64(cl.deadline.Sub(now)),
+	}
+}
+
+// unreachable answers a call whose home can't be reached.
+func (c *Core) unreachable(cl *call) {
+	if cl.movable && c.moveElsewhere(cl) {
+		return
+	}
+	if cl.delivered || cl.maybe {
+		cl.nextSend = c.now.Add(noOwnerRetry)
+		return // the deadline answers "unknown"
+	}
+	c.finishCall(cl, notRun(cl.job, model.CodeHomeUnreachable, "data centre "+string(cl.home)+" can't be reached"))
+}
+
+// moveElsewhere sends idempotent work to another data centre that has an owner
+// with free capacity. It reports whether there was one.
+func (c *Core) moveElsewhere(cl *call) bool {
+	var best model.Member
+	var bestDC model.DataCentre
+	var bestWait int64
+	for _, dc := range c.view.DataCentres() {
+		if dc == cl.home || contains(cl.tried, dc) || !c.knownDataCentre(dc) {
+			continue
+		}
+		m, load, ok := c.view.FarOwner(c.now, dc)
+		if !ok || load.FreeSlots <= 0 {
+			continue
+		}
+		if bestDC == "" || load.WaitMicros < bestWait {
+			best, bestDC, bestWait = m, dc, load.WaitMicros
+		}
+	}
+	if bestDC == "" {
+		return false
+	}
+	c.count("calls_moved", string(bestDC), 1)
+	cl.tried = append(cl.tried, cl.home)
+	cl.home, cl.job = bestDC, c.freshJobID(bestDC)
+	cl.misses = 0
+	cl.nextSend = c.now.Add(forwardRepeat)
+	c.forward(cl, best)
+	return true
+}
+
+// callMessage finds the call that a forward belongs to.
+func (c *Core) onForwardSent(ev *Sent) {
+	for _, id := range sortedKeys(c.calls) {
+		cl := c.calls[id]
+		if cl.message != ev.ID {
+			continue
+		}
+		cl.message = ""
+		if ev.Delivery == DeliveryOK {
+			cl.misses = 0
+			return
+		}
+		if ev.Delivery == DeliveryNotSent {
+			cl.delivered = false
+			cl.misses++
+		}
+		cl.nextSend = c.now.Add(noOwnerRetry)
+		if cl.misses >= unreachableMisses && cl.home != c.cfg.Self.DataCentre {
+			c.unreachable(cl)
+		}
+		return
+	}
+}
+
+// onReply matches a reply to its call by request id and job id.
+func (c *Core) onReply(r *message.Reply) {
+	cl := c.calls[r.Request]
+	if cl == nil || r.Answer.Job != cl.job {
+		c.count("replies_late", "", 1)
+		return
+	}
+	a := r.Answer
+	switch {
+	case cl.kind == message.ForwardQuery || cl.kind == message.ForwardCancel:
+		if a.Code == model.CodeNoOwner {
+			cl.nextSend = c.now.Add(noOwnerRetry)
+			return
+		}
+		c.finishCall(cl, a)
+	case a.Outcome == model.OutcomeAccepted || a.Outcome == model.OutcomeRunning:
+		cl.accepted = true
+		if cl.kind == message.ForwardJob {
+			c.finishCall(cl, a)
+		}
+	case a.Outcome == model.OutcomeNotRun:
+		c.onNotRun(cl, a)
+	default:
+		c.finishCall(cl, a)
+	}
+}
+
+// onNotRun decides whether a target's "not run" is the caller's answer.
+func (c *Core) onNotRun(cl *call, a model.Answer) {
+	cl.delivered = false
+	transient := a.Code == model.CodeNoOwner || a.Code == model.CodeDraining
+	elsewhere := transient || a.Code == model.CodeOverloaded || a.Code == model.CodeQueueFull
+	if elsewhere && cl.movable && c.moveElsewhere(cl) {
+		return
+	}
+	if transient {
+		cl.nextSend = c.now.Add(noOwnerRetry)
+		return
+	}
+	c.finishCall(cl, a)
+}
+
+// tickCalls repeats forwards and answers calls whose deadline has passed.
+func (c *Core) tickCalls() {
+	for _, id := range sortedKeys(c.calls) {
+		cl := c.calls[id]
+		switch {
+		case c.now >= cl.deadline:
+			c.finishCall(cl, c.deadlineAnswer(cl))
+		case c.now >= cl.nextSend:
+			c.route(cl)
+		}
+	}
+}
+
+// deadlineAnswer is the honest answer at the deadline of a call.
+func (c *Core) deadlineAnswer(cl *call) model.Answer {
+	a := model.Answer{Job: cl.job, Code: model.CodeDeadline, Message: "the deadline passed"}
+	switch {
+	case cl.accepted:
+		a.Outcome = model.OutcomeAccepted
+		a.Message = "the job is accepted and not finished; ask again with its id"
+	case cl.delivered || cl.maybe:
+		a.Outcome = model.OutcomeUnknown
+		a.Message = "the deadline passed with no answer; ask again with the job id"
+	default:
+		a.Outcome = model.OutcomeNotRun
+		a.Code = model.CodeNoOwner
+	}
+	return a
+}
+
+// finishCall answers a caller. "Not run" from the last target is not certain
+// if an earlier target may have run work that leaves no trace.
+func (c *Core) finishCall(cl *call, a model.Answer) {
+	delete(c.calls, cl.id)
+	if a.Outcome == model.OutcomeNotRun && cl.maybe && cl.movable {
+		a.Outcome = model.OutcomeUnknown
+		a.Code = model.CodeInDoubt
+	}
+	c.answerCaller(cl.id, a)
+}
+
+func (c *Core) answerCaller(id model.RequestID, a model.Answer) {
+	c.count("answers", string(a.Outcome), 1)
+	c.emit(Effect{Answer: &Answer{Request: id, Answer: a}})
+}
+
+// onGone drops a call whose caller has left. Work that was accepted or has a
+// key goes on.
+func (c *Core) onGone(ev *Gone) { delete(c.calls, ev.Request) }
+
+// knownDataCentre reports whether the text or the membership names dc.
+func (c *Core) knownDataCentre(dc model.DataCentre) bool {
+	if dc == c.cfg.Self.DataCentre {
+		return true
+	}
+	return c.text != nil && contains(c.text.DataCentres, dc)
+}
+
+// notRun returns the answer for work that did not run and will not.
+func notRun(job model.JobID, code model.Code, msg string) model.Answer {
+	return model.Answer{Job: job, Outcome: model.OutcomeNotRun, Code: code, Message: msg}
+}
--- /dev/null
+++ b/internal/core/commit.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/record"
+)
+
+// commitQueue groups records of the data centre's stream into appends. At most
+// one append is in flight, so that batches reach the log in order and the
+// records that arrive meanwhile share the next one.
+type commitQueue struct {
+	entries  []record.Entry
+	urgentAt model.Time // when the oldest urgent entry was queued; zero: none
+	lazyAt   model.Time // when the oldest entry was queued; zero: none
+	flight   *flight
+	lastSent model.Time
+	seq      uint64
+}
+
+// flight is an append that was sent and is not known to have taken effect.
+type flight struct {
+	batch   record.Batch
+	payload []byte
+	since   model.Time
+	sending bool // a call is outstanding
+	retryAt model.Time
+	sent    bool // an attempt may have taken effect
+}
+
+const (
+	// appendRetry is the delay before an append is repeated, with jitter.
+	appendRetry = 200 * time.Millisecond
+	// logOutAfter is how long the log must be silent before it counts as out.
+	// It is short, since callers of non-idempotent work wait meanwhile.
+	logOutAfter = 400 * time.Millisecond
+	// maxBatchEntries bounds the size of one append.
+	maxBatchEntries = 500
+)
+
+// append queues a record. An urgent one is sent as soon as the rate allows;
+// others wait for company.
+func (c *Core) append(e record.Entry, urgent bool) {
+	q := &c.commit
+	q.entries = append(q.entries, e)
+	if q.lazyAt == 0 {
+		q.lazyAt = c.now
+	}
+	if urgent && q.urgentAt == 0 {
+		q.urgentAt = c.now
+	}
+}
+
+// flushCommits sends the next batch if its time has come.
+func (c *Core) flushCommits() {
+	q := &c.commit
+	if len(q.entries) == 0 || q.flight != nil || c.now < q.lastSent.Add(c.cfg.Timing.GroupCommit) {
+		return
+	}
+	if q.urgentAt == 0 && c.now < q.lazyAt.Add(c.cfg.Timing.LazyCommit) {
+		return
+	}
+	n := min(len(q.entries), maxBatchEntries)
+	q.seq++
+	b := record.Batch{
+		ID: c.nextID(), Seq: q.seq, Writer: c.cfg.Self.Incarnation, Entries: q.entries[:n:n],
+	}
+	q.entries = append([]record.Entry(nil), q.entries[n:]...)
+	if len(q.entries) == 0 {
+		q.urgentAt, q.lazyAt = 0, 0
+	}
+	payload, err := record.Encode(b)
+	if err != nil {
+		c.count("encode_errors", "", 1)
+		return
+	}
+	q.flight = &flight{batch: b, payload: payload, since: c.now}
+	c.sendFlight()
+}
+
+func (c *Core) sendFlight() {
+	f := c.commit.flight
+	f.sending = true
+	c.commit.lastSent = c.now
+	c.count("appends", "", 1)
+	c.emit(Effect{Append: &Append{Stream: c.streamName(), Batch: f.batch.ID, Payload: f.payload}})
+}
+
+func (c *Core) streamName() string { return record.DataCentreStream(c.cfg.Self.DataCentre) }
+
+// onAppended handles the answer to an append. Success is only a hint that the
+// next batch may go; the read decides what is in the log.
+func (c *Core) onAppended(ev *Appended) {
+	if c.onPublishAppended(ev) {
+		return
+	}
+	f := c.commit.flight
+	if f == nil || f.batch.ID != ev.Batch {
+		return
+	}
+	f.sending = false
+	switch ev.Delivery {
+	case DeliveryOK:
+		c.commit.flight = nil
+		return
+	case DeliveryAmbiguous:
+		f.sent = true
+	}
+	c.count("append_failures", string(ev.Delivery), 1)
+	f.retryAt = c.now.Add(c.jitter(appendRetry, 0.5, 1.5))
+}
+
+// tickCommits repeats a failed append. The fold ignores the second of two
+// copies.
+func (c *Core) tickCommits() {
+	f := c.commit.flight
+	if f != nil && !f.sending && c.now >= f.retryAt {
+		c.sendFlight()
+	}
+}
+
+// folded notes that a batch of this instance was read back.
+func (c *Core) folded(b record.Batch) {
+	if f := c.commit.flight; f != nil && b.Writer == c.cfg.Self.Incarnation && b.Seq >= f.batch.Seq {
+		c.commit.flight = nil
+	}
+}
+
+// dropCommits forgets what a former owner had not yet appended. Facts that
+// matter are learnt again by the successor from workers and callers.
+func (c *Core) dropCommits() {
+	c.commit.entries = nil
+	c.commit.urgentAt, c.commit.lazyAt = 0, 0
+	c.commit.flight = nil
+}
+
+// logOut reports whether the log takes no appends or answers no reads.
+func (c *Core) logOut() bool {
+	if f := c.commit.flight; f != nil && c.now.Sub(f.since) > logOutAfter {
+		return true
+	}
+	return !c.stream.ok && c.now.Sub(c.stream.failedAt) > logOutAfter
+}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -27,7 +27,7 @@
 	WatchWait    time.Duration `json:"watch_wait"`    // a worker's answer is delayed at most this long
 	TaskLease    time.Duration `json:"task_lease"`    // a worker stops tasks whose lease was not renewed for this long
 	StartGrace   time.Duration `json:"start_grace"`   // not-after time of a start
-	GroupCommit  time.Duration `json:"group_commit"`  // intents and accepts wait at most this long for company
+	GroupCommit  time.Duration `json:"group_commit"`  // least time between two appends
 	LazyCommit   time.Duration `json:"lazy_commit"`   // outcomes and progress wait at most this long
 	Retention    time.Duration `json:"retention"`     // of the platform's log
 	KeyLife      time.Duration `json:"key_life"`      // how long an outcome is remembered under its key
@@ -63,10 +63,12 @@
 		WatchWait:   3 * time.Second,
 		TaskLease:   12 * time.Second,
 		StartGrace:  time.Second,
-		GroupCommit: 5 * time.Millisecond,
+		// GroupCommit bounds a data centre to 20 appends a second, so that 18 of
+		// them stay within the several hundred that the log takes.
+		GroupCommit: 50 * time.Millisecond,
 		LazyCommit:  500 * time.Millisecond,
 		Retention:   time.Hour,
-		KeyLife:     24 * time.Hour,
+		KeyLife:     4 * time.Hour,
 	}
 }
 
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// send sends a message to a peer and returns its id.
+func (c *Core) send(to model.Member, b message.Body) string {
+	id := c.nextID()
+	c.emit(Effect{Send: &Send{To: to, ID: id, Body: b}})
+	return id
+}
+
+// heartbeats sends this instance's heartbeat to the peers that are due.
+func (c *Core) heartbeats() {
+	near, far := c.now >= c.nextBeat, c.now >= c.nextFarBeat
+	if !near && !far {
+		return
+	}
+	if near {
+		c.nextBeat = c.now.Add(c.cfg.Timing.Heartbeat)
+	}
+	if far {
+		c.nextFarBeat = c.now.Add(c.jitter(c.cfg.Timing.FarHeartbeat, 0.9, 1.1))
+	}
+	hb := c.heartbeat()
+	for _, m := range c.view.Targets() {
+		own := m.DataCentre == c.cfg.Self.DataCentre
+		if (own && near) || (!own && far) {
+			c.send(m, message.Body{Heartbeat: hb})
+		}
+	}
+}
+
+func (c *Core) heartbeat() *message.Heartbeat {
+	v, hash, _, _, _ := c.pub.Current()
+	hb := &message.Heartbeat{
+		Epoch: c.lease.Epoch(), Owner: c.lease.IsOwner(), SentAt: c.now,
+		TextVersion: v, TextHash: hash, Draining: c.draining,
+	}
+	if c.acting() {
+		hb.Load = c.load()
+	}
+	return hb
+}
+
+// load summarises the owner's state for other data centres.
+func (c *Core) load() message.Load {
+	o := c.own
+	free := o.cache.Free()
+	probe := (&job{sub: model.Submission{}, svc: model.Service{Class: model.ClassInteractive}}).item(0, c.now)
+	return message.Load{
+		Workers: o.cache.Len(), FreeSlots: free.Slots,
+		WaitMicros:   o.queue.PredictedWait(probe, c.now, free).Microseconds(),
+		RunningTasks: len(o.tasks), WaitingTasks: o.queue.Len(),
+	}
+}
+
+// onMessage handles a message of a peer.
+func (c *Core) onMessage(env *message.Envelope) {
+	from, b := env.From, env.Body
+	if from.Incarnation == c.cfg.Self.Incarnation {
+		return
+	}
+	c.view.Heard(c.now, from, b.Heartbeat != nil && b.Heartbeat.Draining)
+	switch {
+	case b.Heartbeat != nil:
+		c.onHeartbeat(from, b.Heartbeat)
+	case b.HeartbeatReply != nil:
+		c.onHeartbeatReply(from, b.HeartbeatReply)
+	case b.Forward != nil:
+		c.onForward(b.Forward)
+	case b.Reply != nil:
+		c.onReply(b.Reply)
+	case b.TextRequest != nil:
+		c.onTextRequest(from, b.TextRequest)
+	case b.TextReply != nil:
+		c.onTextReply(b.TextReply)
+	}
+	if from.DataCentre == c.cfg.Self.DataCentre {
+		c.onNearMessage(from, b)
+	}
+}
+
+// onNearMessage handles messages that only instances of one data centre send
+// to each other.
+func (c *Core) onNearMessage(from model.Member, b message.Body) {
+	switch {
+	case b.ConsentRequest != nil:
+		r := c.lease.OnConsentRequest(c.now, from, *b.ConsentRequest)
+		c.send(from, message.Body{ConsentReply: &r})
+	case b.ConsentReply != nil:
+		c.lease.OnConsentReply(c.now, from, *b.ConsentReply)
+	case b.Hold != nil:
+		c.onHold(from, b.Hold)
+	case b.HoldReply != nil:
+		c.onHoldReply(from, b.HoldReply)
+	case b.HeldRequest != nil:
+		c.onHeldRequest(from, b.HeldRequest)
+	case b.HeldReply != nil:
+		c.onHeldReply(from, b.HeldReply)
+	}
+}
+
+// onHeartbeat answers a heartbeat, with a voucher if the sender is the owner
+// and the promise can be kept.
+func (c *Core) onHeartbeat(from model.Member, hb *message.Heartbeat) {
+	c.view.SetLoad(from, hb.Load, hb.Owner, hb.Epoch)
+	v, hash, _, _, _ := c.pub.Current()
+	r := &message.HeartbeatReply{Epoch: c.lease.Epoch(), SentAt: hb.SentAt, TextVersion: v, TextHash: hash}
+	if from.DataCentre == c.cfg.Self.DataCentre {
+		r.Voucher = c.lease.OnHeartbeat(c.now, from, *hb)
+		r.Epoch = c.lease.Epoch()
+	}
+	if m, ok := c.lease.Owner(); ok {
+		r.Owner = &m
+	}
+	c.send(from, message.Body{HeartbeatReply: r})
+	c.compareText(from, hb.TextVersion, hb.TextHash)
+}
+
+func (c *Core) onHeartbeatReply(from model.Member, r *message.HeartbeatReply) {
+	if from.DataCentre == c.cfg.Self.DataCentre {
+		c.lease.OnHeartbeatReply(c.now, from, *r)
+	}
+	c.compareText(from, r.TextVersion, r.TextHash)
+}
+
+// onSent handles the delivery of a message. Only forwards depend on it; other
+// messages are repeated by their own timers.
+func (c *Core) onSent(ev *Sent) {
+	if ev.Delivery != DeliveryOK {
+		c.count("messages_undelivered", string(ev.Delivery), 1)
+	}
+	c.onForwardSent(ev)
+}
+
+// onVMList takes over the platform's list.
+func (c *Core) onVMList(ev *VMList) {
+	if ev.Failed {
+		c.count("vm_list_failures", "", 1)
+		return
+	}
+	c.vmsListed = true
+	c.view.VMList(c.now, ev.VMs)
+	if c.own != nil {
+		c.syncWorkers()
+		c.checkSettled()
+	}
+}
--- /dev/null
+++ b/internal/core/publish.go
@@ -0,0 +1,232 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/publication"
+	"github.com/gentianpick/gentianpick/internal/record"
+)
+
+// publishing is an operator's publish that waits to be read back.
+type publishing struct {
+	id       string
+	requests []model.RequestID
+	payload  []byte
+	batch    string // of the append that is outstanding; empty: none
+	sent     bool   // an append may have taken effect
+	retryAt  model.Time
+	deadline model.Time
+}
+
+const (
+	// publishWait is how long a publisher waits for its record to be read
+	// back. A change must be in force within 7 s, so a longer wait is of no use.
+	publishWait = 7 * time.Second
+	// textAskInterval bounds how often a text is asked for, since heartbeats
+	// of several peers may name the same newer version.
+	textAskInterval = 500 * time.Millisecond
+)
+
+// onPublish appends a publish. The fold of the record decides who wins.
+func (c *Core) onPublish(ev *Publish) {
+	if code := c.checkPublish(ev); code != model.CodeNone {
+		v, _, _, _, _ := c.pub.Current()
+		c.emit(Effect{Publish: &PublishAnswer{Request: ev.Request, Version: v, Code: code}})
+		return
+	}
+	if p := c.publishes[ev.ID]; p != nil {
+		p.requests = append(p.requests, ev.Request)
+		return
+	}
+	p := &publishing{id: ev.ID, requests: []model.RequestID{ev.Request}, deadline: c.now.Add(publishWait)}
+	b := record.Batch{ID: c.nextID(), Writer: c.cfg.Self.Incarnation, Entries: []record.Entry{
+		{Publish: &record.Publish{ID: ev.ID, Base: ev.Base, Text: ev.Text}},
+	}}
+	payload, err := record.Encode(b)
+	if err != nil {
+		c.emit(Effect{Publish: &PublishAnswer{Request: ev.Request, Code: model.CodeInternal}})
+		return
+	}
+	p.payload = payload
+	c.publishes[ev.ID] = p
+	c.sendPublish(p)
+}
+
+// checkPublish refuses a text that is invalid or changes the homes of keys.
+// The homes can't change, since a key that was used before would be looked up
+// in another data centre and might run again.
+func (c *Core) checkPublish(ev *Publish) model.Code {
+	t, err := c.parse(ev.Text)
+	switch {
+	case err != nil:
+		return model.CodeTextInvalid
+	case ev.ID == "":
+		return model.CodeBadRequest
+	case c.draining:
+		return model.CodeDraining
+	case !c.config.caughtUp && c.text == nil:
+		return model.CodeLogUnavailable
+	case c.text != nil && !slices.Equal(c.text.DataCentres, t.DataCentres):
+		return model.CodeHomesChanged
+	}
+	return model.CodeNone
+}
+
+func (c *Core) sendPublish(p *publishing) {
+	p.batch = c.nextID()
+	c.count("appends", "", 1)
+	c.emit(Effect{Append: &Append{Stream: record.ConfigStream, Batch: p.batch, Payload: p.payload}})
+}
+
+// onPublishAppended handles the answer to an append of the config stream. It
+// reports whether the append was one.
+func (c *Core) onPublishAppended(ev *Appended) bool {
+	for _, id := range sortedKeys(c.publishes) {
+		p := c.publishes[id]
+		if p.batch != ev.Batch {
+			continue
+		}
+		if ev.Delivery != DeliveryNotSent {
+			p.sent = true
+		}
+		if ev.Delivery != DeliveryOK {
+			p.batch = ""
+			p.retryAt = c.now.Add(c.jitter(appendRetry, 0.5, 1.5))
+		}
+		return true
+	}
+	return false
+}
+
+// tickPublishes repeats lost appends and gives up at the deadline.
+func (c *Core) tickPublishes() {
+	for _, id := range sortedKeys(c.publishes) {
+		p := c.publishes[id]
+		switch {
+		case c.now >= p.deadline:
+			code := model.CodeLogUnavailable
+			if p.sent || p.batch != "" {
+				code = model.CodeInDoubt // repeat with the same id to learn the outcome
+			}
+			c.answerPublish(id, false, code)
+		case p.batch == "" && c.now >= p.retryAt:
+			c.sendPublish(p)
+		}
+	}
+	c.carryText()
+}
+
+func (c *Core) answerPublish(id string, accepted bool, code model.Code) {
+	p := c.publishes[id]
+	if p == nil {
+		return
+	}
+	delete(c.publishes, id)
+	v, _, _, _, _ := c.pub.Current()
+	for _, r := range p.requests {
+		c.emit(Effect{Publish: &PublishAnswer{Request: r, Accepted: accepted, Version: v, Code: code}})
+	}
+}
+
+// foldConfig folds one record of the config stream.
+func (c *Core) foldConfig(offset uint64, e record.Entry) {
+	switch {
+	case e.Publish != nil:
+		c.applyPublication(c.pub.FoldPublish(offset, *e.Publish))
+	case e.Carry != nil:
+		c.applyPublication(c.pub.FoldCarry(offset, *e.Carry))
+		c.pub.NoteWritten(c.now)
+	}
+}
+
+// applyPublication takes over what a fold decided.
+func (c *Core) applyPublication(r publication.Result) {
+	for _, d := range append([]publication.Decision{r.Decision}, r.Settled...) {
+		c.count("publishes", string(d.Status), 1)
+		switch d.Status {
+		case publication.Adopted, publication.Repeated:
+			c.answerPublish(d.ID, true, model.CodeNone)
+		case publication.Conflict:
+			c.answerPublish(d.ID, false, model.CodeVersionConflict)
+		}
+	}
+	if r.Changed {
+		c.adoptText()
+	}
+}
+
+// adoptText puts the current version in force on this instance.
+func (c *Core) adoptText() {
+	v, hash, id, data, ok := c.pub.Current()
+	if !ok {
+		return
+	}
+	c.emit(Effect{Text: &TextInForce{Version: v, Hash: hash, ID: id, Text: data}})
+	t, err := c.parse(data)
+	if err != nil {
+		// A newer program accepted what this one can't read: the version counts,
+		// the former policy goes on.
+		c.count("text_parse_errors", "", 1)
+		return
+	}
+	c.text, c.textV = t, v
+	c.change("service text", t.Name, "", hex16(hash))
+	if c.own != nil {
+		c.applyText()
+	}
+	c.updateReady()
+}
+
+// compareText asks a peer for its text if it is newer than the own one.
+func (c *Core) compareText(from model.Member, version, hash uint64) {
+	v, own, _, _, _ := c.pub.Current()
+	if version == v && version != 0 && hash != own {
+		c.count("text_hash_mismatches", "", 1)
+	}
+	if version <= v || c.now < c.nextTextAsk {
+		return
+	}
+	c.nextTextAsk = c.now.Add(textAskInterval)
+	c.send(from, message.Body{TextRequest: &message.TextRequest{Have: v}})
+}
+
+func (c *Core) onTextRequest(from model.Member, r *message.TextRequest) {
+	v, hash, id, data, ok := c.pub.Current()
+	if !ok || v <= r.Have {
+		return
+	}
+	c.send(from, message.Body{TextReply: &message.TextReply{
+		Version: v, Hash: hash, ID: id, Text: data, AsOf: c.pub.Folded(),
+	}})
+}
+
+func (c *Core) onTextReply(r *message.TextReply) {
+	c.count("texts_from_peers", "", 1)
+	c.applyPublication(c.pub.Adopt(*r))
+}
+
+// carryText writes the text in force again before the log forgets it.
+func (c *Core) carryText() {
+	if !c.acting() || !c.config.ok || !c.pub.CarryDue(c.now, c.cfg.Timing.Retention, c.carryJitter) {
+		return
+	}
+	v, hash, id, data, ok := c.pub.Current()
+	if !ok {
+		return
+	}
+	b := record.Batch{ID: c.nextID(), Writer: c.cfg.Self.Incarnation, Entries: []record.Entry{{Carry: &record.Carry{
+		Version: v, Hash: hash, Text: data, ID: id, AsOf: c.pub.Folded(),
+	}}}}
+	payload, err := record.Encode(b)
+	if err != nil {
+		c.count("encode_errors", "", 1)
+		return
+	}
+	c.pub.NoteWritten(c.now)
+	c.count("carries", "", 1)
+	c.count("appends", "", 1)
+	c.emit(Effect{Append: &Append{Stream: record.ConfigStream, Batch: b.ID, Payload: payload}})
+}
--- /dev/null
+++ b/internal/core/routing.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// hashParts hashes strings with a separator that keeps ("a","bc") and
+// ("ab","c") apart.
+func hashParts(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// home returns the data centre with the highest hash for a name. Adding the
+// data centre's name to the hash moves few names when the list changes.
+func home(dcs []model.DataCentre, parts ...string) model.DataCentre {
+	var best model.DataCentre
+	var top uint64
+	for _, dc := range dcs {
+		h := hashParts(append([]string{string(dc)}, parts...)...)
+		if best == "" || h > top || (h == top && dc < best) {
+			best, top = dc, h
+		}
+	}
+	return best
+}
+
+// jobHome returns the data centre that a job id names.
+func jobHome(id model.JobID) model.DataCentre {
+	dc, _, ok := strings.Cut(string(id), "/")
+	if !ok {
+		return ""
+	}
+	return model.DataCentre(dc)
+}
+
+// keyedJobID returns the job id of a key. Two hashes of 64 bits make a
+// collision of two keys of a service practically impossible.
+func keyedJobID(dc model.DataCentre, service string, key model.Key) model.JobID {
+	a := hashParts("a", service, string(key))
+	b := hashParts("b", service, string(key))
+	return model.JobID(string(dc) + "/k" + hex16(a) + hex16(b))
+}
+
+// freshJobID returns the id of a job without a key.
+func (c *Core) freshJobID(dc model.DataCentre) model.JobID {
+	return model.JobID(string(dc) + "/" + c.nextID())
+}
+
+const hexDigits = "0123456789abcdef"
+
+func hex16(v uint64) string {
+	var b [16]byte
+	for i := range b {
+		b[15-i] = hexDigits[v&15]
+		v >>= 4
+	}
+	return string(b[:])
+}
+
+// requestHash identifies the content of a submission, so that another request
+// under the same key is noticed.
+func requestHash(s model.Submission) uint64 {
+	h := hashParts(s.Service, s.Operation, string(s.Key), string(s.Body))
+	if h == 0 {
+		return 1 // zero means unknown
+	}
+	return h
+}
--- /dev/null
+++ b/internal/core/schedule.go
@@ -0,0 +1,270 @@
+package core
+
+import (
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/placement"
+	"github.com/gentianpick/gentianpick/internal/queue"
+	"github.com/gentianpick/gentianpick/internal/worker"
+)
+
+// schedule makes one pass over the queues.
+func (c *Core) schedule() {
+	c.dirty = false
+	o := c.own
+	o.queue.SetSlots(o.cache.Capacity().Slots)
+	reserve := o.queue.Headroom(c.now)
+	n := o.queue.Schedule(c.now, func(it *queue.Item) queue.Verdict {
+		return c.tryItem(it, reserve)
+	})
+	c.count("placements", "", n)
+}
+
+// tryItem places one queued item if it can.
+func (c *Core) tryItem(it *queue.Item, reserve model.Resources) queue.Verdict {
+	t := it.Data.(*task)
+	j := t.j
+	if j.answer != nil || j.cancelled || j.marks[t.index] == taskDone {
+		return queue.Drop
+	}
+	if it.Class == model.ClassService && !c.instanceWanted(t) {
+		return queue.Drop
+	}
+	if c.dependencyDown(&j.svc) {
+		return queue.Blocked
+	}
+	if j.keyed && (!c.own.settled || c.own.doubts >= c.cfg.Limits.InDoubt) {
+		return queue.Blocked
+	}
+	if c.blame.JobAtFault(j.id) {
+		c.failTask(t, "the job fails on healthy workers")
+		return queue.Drop
+	}
+	if it.Class == model.ClassGang {
+		return c.tryGang(j, t, it, reserve)
+	}
+	if c.tryProbe(t, it) {
+		return queue.Placed
+	}
+	r := c.placeRequest(t, reserve)
+	w, denial := c.own.cache.Place(r)
+	if denial != "" {
+		c.count("placement_denials", string(denial), 1)
+		if it.Class == model.ClassInteractive || it.Class == model.ClassService {
+			c.preempt(r)
+		}
+		return queue.Blocked
+	}
+	c.start(t, w, it)
+	return queue.Placed
+}
+
+// tryProbe places an idempotent task on a quarantined worker that is due for a
+// probe. It reports whether it did.
+func (c *Core) tryProbe(t *task, it *queue.Item) bool {
+	o := c.own
+	if len(o.probes) == 0 || t.j.keyed || it.Class == model.ClassService || t.attempts > 0 {
+		return false
+	}
+	r := c.placeRequest(t, model.Resources{})
+	r.Probe = o.probes[0]
+	w, denial := o.cache.Place(r)
+	if denial != "" {
+		return false
+	}
+	o.probes = o.probes[1:]
+	c.count("probes", "", 1)
+	c.start(t, w, it)
+	return true
+}
+
+func (c *Core) placeRequest(t *task, reserve model.Resources) placement.Request {
+	j := t.j
+	r := placement.Request{
+		Task: model.NewTaskID(j.id, t.index, 0), Service: j.svc.Name, Class: j.svc.Class,
+		Team: j.svc.Team, Need: j.need, Avoid: t.avoid, Reserve: reserve,
+	}
+	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService {
+		r.Reserve = model.Resources{}
+	}
+	return r
+}
+
+// tryGang places all waiting tasks of a gang or none.
+func (c *Core) tryGang(j *job, t *task, it *queue.Item, reserve model.Resources) queue.Verdict {
+	if j.active > 0 {
+		return queue.Blocked // the tasks of the attempt before have not all stopped
+	}
+	var tasks []*task
+	var rs []placement.Request
+	for i, m := range j.marks {
+		if m != taskWaiting {
+			continue
+		}
+		g := &task{j: j, index: i, attempts: t.attempts, avoid: t.avoid, queued: t.queued}
+		tasks = append(tasks, g)
+		rs = append(rs, c.placeRequest(g, reserve))
+	}
+	ws, denial := c.own.cache.PlaceGang(rs)
+	if denial != "" {
+		c.count("placement_denials", string(denial), 1)
+		return queue.Blocked
+	}
+	for i, g := range tasks {
+		c.start(g, ws[i], it)
+	}
+	return queue.Placed
+}
+
+// dependencyDown reports whether a dependency with policy "hold" has no
+// running instance.
+func (c *Core) dependencyDown(svc *model.Service) bool {
+	if svc.OnDown == model.DependencyDegrade {
+		return false
+	}
+	for _, name := range svc.DependsOn {
+		d := c.serviceOf(name)
+		if d == nil || d.Class != model.ClassService || !c.runsHere(d) {
+			continue
+		}
+		if c.runningInstances(name) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// preempt makes room for urgent work: the fewest and youngest batch tasks on
+// one worker are checkpointed and queued again.
+func (c *Core) preempt(r placement.Request) {
+	w, victims, ok := c.own.cache.Victims(r, func(u placement.TaskUse) bool {
+		t := c.own.tasks[u.Task]
+		return t != nil && t.phase == phaseRunning && !t.stopping && !t.j.keyed &&
+			(u.Class == model.ClassBatch)
+	})
+	ws := c.own.workers[w]
+	if !ok || ws == nil {
+		return
+	}
+	for _, id := range victims {
+		t := c.own.tasks[id]
+		t.stopping, t.preempted = true, true
+	}
+	c.count("preemptions", "", len(victims))
+	c.control(ws, worker.ActionCheckpoint, victims)
+}
+
+// start binds a task to a worker.
+func (c *Core) start(t *task, name model.WorkerName, it *queue.Item) {
+	o := c.own
+	w := o.workers[name]
+	t.worker, t.boot, t.placed = name, w.boot, c.now
+	t.number = c.nextAttempt()
+	t.id = model.NewTaskID(t.j.id, t.index, t.number)
+	t.stopping, t.preempted, t.acked = false, false, 0
+	c.instancePlaced(t)
+	c.track(t)
+	o.cache.Promise(name, t.spec(), c.now)
+	o.queue.Started(c.startedItem(t, it), c.now)
+	c.observe("placement_wait_seconds", string(t.j.svc.Class), c.now.Sub(t.queued))
+	if t.j.keyed {
+		c.makeIntent(t, w)
+		return
+	}
+	c.sendStart(t, w)
+}
+
+// startedItem is the queue's item under the task id of this attempt.
+func (c *Core) startedItem(t *task, it *queue.Item) *queue.Item {
+	cp := *it
+	cp.Task = t.id
+	return &cp
+}
+
+// track adds a placed task to the owner's tables.
+func (c *Core) track(t *task) {
+	o := c.own
+	o.tasks[t.id] = t
+	m := o.jobTasks[t.j.id]
+	if m == nil {
+		m = make(map[model.TaskID]*task)
+		o.jobTasks[t.j.id] = m
+	}
+	m[t.id] = t
+	t.j.mark(t.index, taskActive)
+}
+
+// untrack removes a task that no longer holds anything.
+func (c *Core) untrack(t *task) {
+	o := c.own
+	if o.tasks[t.id] != t {
+		return
+	}
+	if t.phase == phaseDoubt && t.j.keyed {
+		o.doubts--
+	}
+	delete(o.tasks, t.id)
+	delete(o.holds, t.id)
+	if m := o.jobTasks[t.j.id]; m != nil {
+		delete(m, t.id)
+		if len(m) == 0 {
+			delete(o.jobTasks, t.j.id)
+		}
+	}
+	o.cache.Release(t.id)
+	o.queue.Ended(t.id)
+	t.j.mark(t.index, taskWaiting)
+	c.dirty = true
+}
+
+func (t *task) spec() model.TaskSpec {
+	j := t.j
+	return model.TaskSpec{
+		ID: t.id, Job: j.id, Index: t.index, Attempt: t.number, Service: j.svc.Name,
+		Operation: j.sub.Operation, Class: j.svc.Class, Team: j.svc.Team, Key: j.sub.Key,
+		Resources: j.need, MaxRun: j.svc.MaxRunTime,
+	}
+}
+
+// notAfter is the time on a worker's clock until which it may start a task
+// sent now. It counts from the receipt of the worker's last report, so delays
+// on the way only make it earlier.
+func (c *Core) notAfter(w *workerState) model.WorkerTime {
+	return w.clock + model.WorkerTime(c.now.Sub(w.clockAt)+c.cfg.Timing.StartGrace)
+}
+
+// sendStart sends a start. From here on the task may run.
+func (c *Core) sendStart(t *task, w *workerState) {
+	t.phase = phaseStarting
+	t.attempts++
+	t.j.everStarted = true
+	if !t.j.keyed {
+		t.notAfter = c.notAfter(w)
+	}
+	c.count("task_starts", string(t.j.svc.Class), 1)
+	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, Request: worker.StartRequest{
+		Epoch: c.own.epoch, Boot: t.boot, NotAfter: t.notAfter, Lease: c.cfg.Timing.TaskLease,
+		Spec: t.spec(), Body: t.j.sub.Body, Resume: t.resume,
+	}}})
+}
+
+// control makes a control call to a worker.
+func (c *Core) control(w *workerState, a worker.Action, tasks []model.TaskID) {
+	if len(tasks) == 0 {
+		return
+	}
+	c.emit(Effect{Control: &Control{Worker: w.name, Address: w.address, Request: worker.ControlRequest{
+		Epoch: c.own.epoch, Tasks: tasks, Action: a,
+	}}})
+}
+
+// stopTask ends a placed task. One whose start was not sent is released at
+// once; the others end when their worker says so.
+func (c *Core) stopTask(t *task) {
+	if t.phase == phaseIntent {
+		return // dropped when its intent is stable
+	}
+	t.stopping = true
+	if w := c.own.workers[t.worker]; w != nil {
+		c.control(w, worker.ActionStop, []model.TaskID{t.id})
+	}
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// statusJobs bounds the jobs listed in a status report.
+const statusJobs = 50
+
+// onStatus answers a status request.
+func (c *Core) onStatus(ev *Status) {
+	c.emit(Effect{Status: &StatusAnswer{Request: ev.Request, Report: c.report()}})
+}
+
+func (c *Core) report() StatusReport {
+	v, hash, _, _, _ := c.pub.Current()
+	r := StatusReport{
+		Self: c.cfg.Self, Ready: c.ready, Draining: c.draining, TextVersion: v, TextHash: hash,
+		Epoch: c.lease.Epoch(), Acting: c.acting(), LogOK: !c.logOut(), Keys: c.keys.Len(),
+	}
+	owner, ok := c.lease.Owner()
+	if ok {
+		r.Owner = &owner
+	}
+	for _, p := range c.view.Members(c.now) {
+		r.Members = append(r.Members, MemberStatus{
+			Member: p.Member, Alive: p.Alive, Owner: ok && p.Member.Incarnation == owner.Incarnation,
+		})
+	}
+	if c.own != nil {
+		c.reportOwner(&r)
+	}
+	return r
+}
+
+// reportOwner adds what only the owner knows.
+func (c *Core) reportOwner(r *StatusReport) {
+	o := c.own
+	r.Settled, r.InDoubt = o.settled, o.doubts
+	running := make(map[model.Class]int)
+	tasks := make(map[model.WorkerName]int)
+	for _, t := range o.tasks {
+		running[t.j.svc.Class]++
+		tasks[t.worker]++
+	}
+	for _, name := range sortedKeys(o.workers) {
+		w := o.workers[name]
+		r.Workers = append(r.Workers, WorkerStatus{
+			Name: name, Rack: w.rack, Capacity: w.capacity, Used: o.cache.Used(name), Tasks: tasks[name],
+			Reachable: w.reach, Leaving: w.leaving, Quarantined: c.blame.Quarantined(name),
+		})
+	}
+	for _, cl := range []model.Class{model.ClassInteractive, model.ClassService, model.ClassGang, model.ClassBatch} {
+		r.Queues = append(r.Queues, QueueStatus{Class: cl, Waiting: o.queue.Waiting(cl), Running: running[cl]})
+	}
+	r.Services = c.instanceStates()
+	r.Jobs = c.jobForecasts()
+}
+
+// jobForecasts lists unfinished batch jobs, those at risk first.
+func (c *Core) jobForecasts() []JobForecast {
+	var out []JobForecast
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		if j.answer != nil || !j.durable {
+			continue
+		}
+		f := JobForecast{Job: id, Counts: j.counts(), Deadline: j.deadlineAt.Format(time.RFC3339), AtRisk: j.atRisk}
+		if j.forecast > 0 {
+			f.Forecast = c.wall.Add(j.forecast).Format(time.RFC3339)
+		}
+		out = append(out, f)
+	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].AtRisk && !out[k].AtRisk })
+	return out[:min(len(out), statusJobs)]
+}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -113,10 +113,10 @@
 		}
 		return
 	}
-	if e.Answer != nil && rank(e.Answer.Outcome) >= rank(a.Outcome) && o.Attempt <= e.Attempt {
+	if e.Answer != nil && rank(e.Answer.Outcome) > 1 && rank(a.Outcome) <= rank(e.Answer.Outcome) {
 		return
 	}
-	if o.Attempt < e.Attempt && a.Outcome == model.OutcomeNotRun {
+	if a.Outcome == model.OutcomeNotRun && o.Attempt < e.Attempt {
 		return
 	}
 	e.Answer, e.At = &a, now
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -2,7 +2,7 @@
 // log and their encoding.
 //
 // One append carries one Batch. Its entries are folded in order at the
-// batch's offset. A batch id that was already folded is ignored, so that an
+// batch's offset. A batch whose sequence number was already folded is ignored, so that an
 // append with a lost answer may be repeated.
 package record
 
@@ -24,7 +24,8 @@
 
 // Batch is the payload of one append.
 type Batch struct {
-	ID      string            `json:"id"` // unique per writer incarnation
+	ID      string            `json:"id"`
+	Seq     uint64            `json:"seq,omitempty"` // rises per writer; a batch at or below the last folded one is ignored. Zero: not checked
 	Writer  model.Incarnation `json:"writer"`
 	Entries []Entry           `json:"entries"`
 }
@@ -107,6 +108,7 @@
 	Worker      model.WorkerName `json:"worker"`
 	Boot        string           `json:"boot"`           // the worker's boot id when the intent was made
 	NotAfter    model.WorkerTime `json:"not_after"`      // on the worker's clock; a later start is refused
+	Resources   model.Resources  `json:"resources"`
 	Late        bool             `json:"late,omitempty"` // held by electors while the log was out, then appended
 }
 
@@ -118,6 +120,8 @@
 	RequestHash uint64       `json:"request_hash"`
 	Attempt     int          `json:"attempt"`
 	Answer      model.Answer `json:"answer"`
+	Worker model.WorkerName `json:"worker,omitempty"` // that keeps the result until this record is read back
+	Task model.TaskID `json:"task,omitempty"`
 }
 
 // Snapshot carries still needed state of a data centre's stream forward, so
