HTTP adapters for the platform and for workers

A failed call is classified by whether a complete request header was written, because only a request that was certainly not sent may be repeated. Requests have no GetBody, so net/http never repeats a POST on another connection. Both adapters share internal/httpjson.

--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,137 @@
+// Package httpjson makes one HTTP call with a JSON body and says, when it
+// fails, whether the request may have reached the server.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// MaxResponse bounds a response body in bytes. The largest response is a read
+// of the log, which the platform limits to a few MiB.
+const MaxResponse = 16 << 20
+
+// Timeouts of a client's connections.
+const (
+	dialTimeout = time.Second      // dials stay inside a region, at most a few milliseconds away
+	idleTimeout = 90 * time.Second // longer than any long poll, so that a polled connection is kept
+)
+
+// Codes of CallError.
+const (
+	CodeNotSent   model.Code = "not_sent"   // the server certainly has no complete request
+	CodeNoAnswer  model.Code = "no_answer"  // sent, but no whole response arrived
+	CodeBadAnswer model.Code = "bad_answer" // the response is too long or not the expected JSON
+	CodeStatus    model.Code = "status"     // the response has an unexpected status
+)
+
+// CallError is a call without a usable response.
+type CallError struct {
+	Code   model.Code
+	Status int   // HTTP status if a response arrived, else zero
+	Cause  error // nil for CodeStatus
+}
+
+func (e *CallError) Error() string {
+	if e.Cause == nil {
+		return string(e.Code) + " " + strconv.Itoa(e.Status)
+	}
+	return string(e.Code) + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the error of the transport or of the decoder.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// TooLargeError reports a response body above MaxResponse.
+type TooLargeError struct{}
+
+func (e *TooLargeError) Error() string { return "response body is above the limit" }
+
+// Request is one call.
+type Request struct {
+	Method string
+	URL    string
+	Header http.Header
+	Body   []byte // nil: no body
+}
+
+// Response is a response whose body arrived whole.
+type Response struct {
+	Status int
+	Body   []byte
+}
+
+// NewClient returns a client that opens at most maxConnsPerHost connections to
+// one address and sends each request at most once.
+func NewClient(maxConnsPerHost int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxConnsPerHost:     maxConnsPerHost,
+			MaxIdleConnsPerHost: maxConnsPerHost,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Do makes one call. Its error is a CallError. When ctx ends before the
+// response is complete, net/http closes the connection, so that the next call
+// uses another one.
+func Do(ctx context.Context, client *http.Client, r Request) (Response, error) {
+	// The server acts only on a complete header. WroteHeaders comes before the
+	// last flush of the header, and a failed call's connection is closed before
+	// client.Do returns, so without WroteHeaders nothing complete was sent.
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, bytes.NewReader(r.Body))
+	if err != nil {
+		return Response{}, &CallError{Code: CodeNotSent, Cause: err}
+	}
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	req.GetBody = nil // without it net/http can't send a body a second time
+	if r.Body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if !wrote.Load() {
+			return Response{}, &CallError{Code: CodeNotSent, Cause: err}
+		}
+		return Response{}, &CallError{Code: CodeNoAnswer, Cause: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponse+1))
+	if err != nil {
+		return Response{}, &CallError{Code: CodeNoAnswer, Status: resp.StatusCode, Cause: err}
+	}
+	if len(body) > MaxResponse {
+		return Response{}, &CallError{Code: CodeBadAnswer, Status: resp.StatusCode, Cause: &TooLargeError{}}
+	}
+	return Response{Status: resp.StatusCode, Body: body}, nil
+}
+
+// Decode parses the body of a response with status 200 into out. Any other
+// status or a body that doesn't parse is a CallError.
+func (r Response) Decode(out any) error {
+	if r.Status != http.StatusOK {
+		return &CallError{Code: CodeStatus, Status: r.Status}
+	}
+	if err := json.Unmarshal(r.Body, out); err != nil {
+		return &CallError{Code: CodeBadAnswer, Status: r.Status, Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,138 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/httpjson"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// CallTimeout bounds a call whose context has no earlier deadline. A read may
+// take its wait in addition. An append normally takes a few milliseconds; a
+// slow platform is retried rather than waited for.
+const CallTimeout = 5 * time.Second
+
+// DataCentreHeader names the caller's data centre to the platform.
+const DataCentreHeader = "X-Data-Centre"
+
+// AppendAnswer is the body of a successful append's response.
+type AppendAnswer struct {
+	Offset uint64 `json:"offset"`
+}
+
+// VMsAnswer is the body of the VM list's response.
+type VMsAnswer struct {
+	VMs []model.VM `json:"vms"`
+}
+
+// Problem is the body of a response that reports a failure.
+type Problem struct {
+	Code    model.Code `json:"code"`
+	Message string     `json:"message,omitempty"`
+}
+
+// HTTP is a Platform that speaks JSON over HTTP.
+type HTTP struct {
+	base   string
+	client *http.Client
+	header http.Header
+}
+
+var _ Platform = (*HTTP)(nil)
+
+// Option changes an HTTP adapter.
+type Option func(*HTTP)
+
+// WithDataCentre makes the adapter send its data centre with each call.
+func WithDataCentre(dc model.DataCentre) Option {
+	return func(h *HTTP) { h.header.Set(DataCentreHeader, string(dc)) }
+}
+
+// NewHTTP returns an adapter for the platform at baseURL.
+func NewHTTP(baseURL string, client *http.Client, opts ...Option) *HTTP {
+	h := &HTTP{base: strings.TrimRight(baseURL, "/"), client: client, header: http.Header{}}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
+// NewClient returns a client for NewHTTP with at most maxConns connections.
+// An instance needs one for each stream's long poll and a few for the rest.
+func NewClient(maxConns int) *http.Client { return httpjson.NewClient(maxConns) }
+
+// Append implements Platform. A 4xx response and a request that was never sent
+// are a RefusedError, except for 408, which a proxy may send after it passed
+// the request on.
+func (h *HTTP) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	resp, err := httpjson.Do(ctx, h.client, httpjson.Request{
+		Method: http.MethodPost, URL: h.records(stream), Header: h.header, Body: payload,
+	})
+	if err != nil {
+		var ce *httpjson.CallError
+		if errors.As(err, &ce) && ce.Code == httpjson.CodeNotSent {
+			return 0, &RefusedError{Reason: ce.Error()}
+		}
+		return 0, &UnavailableError{Op: "append", Cause: err}
+	}
+	if resp.Status >= 400 && resp.Status < 500 && resp.Status != http.StatusRequestTimeout {
+		return 0, &RefusedError{Reason: "status " + strconv.Itoa(resp.Status)}
+	}
+	// The offset is a pointer so that a body without one is not offset 0.
+	var a struct {
+		Offset *uint64 `json:"offset"`
+	}
+	if err := resp.Decode(&a); err != nil {
+		return 0, &UnavailableError{Op: "append", Cause: err}
+	}
+	if a.Offset == nil {
+		return 0, &UnavailableError{Op: "append", Cause: &httpjson.CallError{Code: httpjson.CodeBadAnswer, Status: resp.Status, Cause: &NoOffsetError{}}}
+	}
+	return *a.Offset, nil
+}
+
+// NoOffsetError reports a response to an append that has no offset.
+type NoOffsetError struct{}
+
+func (e *NoOffsetError) Error() string { return "response has no offset" }
+
+// Read implements Platform.
+func (h *HTTP) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (ReadResult, error) {
+	q := "?from=" + strconv.FormatUint(from, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	var r ReadResult
+	err := h.get(ctx, "read", h.records(stream)+q, wait+CallTimeout, &r)
+	return r, err
+}
+
+// VMs implements Platform.
+func (h *HTTP) VMs(ctx context.Context) ([]model.VM, error) {
+	var a VMsAnswer
+	err := h.get(ctx, "vms", h.base+"/vms", CallTimeout, &a)
+	return a.VMs, err
+}
+
+// get decodes into out only if the whole response is valid.
+func (h *HTTP) get(ctx context.Context, op, target string, timeout time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := httpjson.Do(ctx, h.client, httpjson.Request{Method: http.MethodGet, URL: target, Header: h.header})
+	if err == nil {
+		err = resp.Decode(out)
+	}
+	if err != nil {
+		return &UnavailableError{Op: op, Cause: err}
+	}
+	return nil
+}
+
+func (h *HTTP) records(stream string) string {
+	return h.base + "/streams/" + url.PathEscape(stream) + "/records"
+}
--- /dev/null
+++ b/internal/worker/http.go
@@ -0,0 +1,131 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/httpjson"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// CallTimeout bounds a call whose context has no earlier deadline. A watch may
+// take its wait in addition. Workers answer within milliseconds, so a second
+// without an answer means a dead worker or a silent connection.
+const CallTimeout = time.Second
+
+// QueryRequest is the body of a query call.
+type QueryRequest struct {
+	Epoch uint64       `json:"epoch"`
+	Task  model.TaskID `json:"task"`
+}
+
+// Problem is the body of a response with status 409.
+type Problem struct {
+	Code  model.Code       `json:"code"`
+	Epoch uint64           `json:"epoch,omitempty"`
+	Clock model.WorkerTime `json:"clock,omitempty"` // start only
+}
+
+// HTTP is a Worker that speaks JSON over HTTP.
+type HTTP struct {
+	base   string
+	client *http.Client
+}
+
+var _ Worker = (*HTTP)(nil)
+
+// NewHTTP returns an adapter for the worker at address, an IP:port.
+func NewHTTP(address string, client *http.Client) *HTTP {
+	return &HTTP{base: "http://" + address, client: client}
+}
+
+// NewClient returns a client for NewHTTP. It opens at most maxConnsPerHost
+// connections to a worker and never sends a request twice.
+func NewClient(maxConnsPerHost int) *http.Client { return httpjson.NewClient(maxConnsPerHost) }
+
+// Watch implements Worker.
+func (h *HTTP) Watch(ctx context.Context, req WatchRequest) (model.Report, error) {
+	var r model.Report
+	err := h.call(ctx, "watch", CallTimeout+req.Wait, req, &r)
+	return r, err
+}
+
+// Start implements Worker. A 409 with one of the codes of Refusal is a
+// refusal. Any other failure status leaves open whether the task runs.
+func (h *HTTP) Start(ctx context.Context, req StartRequest) (StartResult, error) {
+	resp, err := h.post(ctx, "start", CallTimeout, req)
+	if err != nil {
+		return StartResult{}, err
+	}
+	if p, ok := problem(resp); ok && refusalCode(p.Code) {
+		return StartResult{Refusal: &Refusal{Code: p.Code, Epoch: p.Epoch}, Clock: p.Clock}, nil
+	}
+	var r StartResult
+	if err := resp.Decode(&r); err != nil {
+		return StartResult{}, &UnavailableError{Op: "start", Cause: err}
+	}
+	return r, nil
+}
+
+// Query implements Worker.
+func (h *HTTP) Query(ctx context.Context, epoch uint64, task model.TaskID) (QueryResult, error) {
+	var r QueryResult
+	err := h.call(ctx, "query", CallTimeout, QueryRequest{Epoch: epoch, Task: task}, &r)
+	return r, err
+}
+
+// Control implements Worker.
+func (h *HTTP) Control(ctx context.Context, req ControlRequest) error {
+	return h.call(ctx, "control", CallTimeout, req, &struct{}{})
+}
+
+func (h *HTTP) call(ctx context.Context, op string, timeout time.Duration, in, out any) error {
+	resp, err := h.post(ctx, op, timeout, in)
+	if err != nil {
+		return err
+	}
+	if p, ok := problem(resp); ok && p.Code == model.CodeStaleEpoch {
+		return &StaleEpochError{Epoch: p.Epoch}
+	}
+	if err := resp.Decode(out); err != nil {
+		return &UnavailableError{Op: op, Cause: err}
+	}
+	return nil
+}
+
+// post returns a response of any status, a NotSentError or an UnavailableError.
+func (h *HTTP) post(ctx context.Context, op string, timeout time.Duration, in any) (httpjson.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return httpjson.Response{}, &NotSentError{Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := httpjson.Do(ctx, h.client, httpjson.Request{Method: http.MethodPost, URL: h.base + "/" + op, Body: body})
+	var ce *httpjson.CallError
+	switch {
+	case err == nil:
+		return resp, nil
+	case errors.As(err, &ce) && ce.Code == httpjson.CodeNotSent:
+		return resp, &NotSentError{Cause: err}
+	default:
+		return resp, &UnavailableError{Op: op, Cause: err}
+	}
+}
+
+func problem(r httpjson.Response) (Problem, bool) {
+	var p Problem
+	ok := r.Status == http.StatusConflict && json.Unmarshal(r.Body, &p) == nil
+	return p, ok
+}
+
+func refusalCode(c model.Code) bool {
+	switch c {
+	case model.CodeStaleEpoch, model.CodeTooLate, model.CodeNoCapacity, model.CodeLeaving, model.CodeWorkerLost:
+		return true
+	}
+	return false
+}
