Command to run the stand-ins

Each worker has its own port and registers itself in the stand-in's VM list, so that instances find it the way they find real workers.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,7 +23,9 @@
 		Usage:     "cluster scheduler for unlike workloads",
 		Writer:    stdout,
 		ErrWriter: stderr,
-		Commands:  []*cli.Command{},
+		Commands: []*cli.Command{
+			standinCommand(),
+		},
 	}
 	if err := app.Run(ctx, args); err != nil {
 		fmt.Fprintln(stderr, "gentianpick:", err)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -95,17 +94,27 @@
 		if f.isSilent(conn) {
 			hang(r)
 		}
-		rec := httptest.NewRecorder()
+		rec := &recorder{header: w.Header(), status: http.StatusOK}
 		h.ServeHTTP(rec, r)
 		if f.isSilent(conn) {
 			hang(r)
 		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(rec.Code)
-		w.Write(rec.Body.Bytes())
+		w.WriteHeader(rec.status)
+		w.Write(rec.body.Bytes())
 	})
 }
 
+// recorder keeps a response until it may be sent.
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (r *recorder) Header() http.Header         { return r.header }
+func (r *recorder) WriteHeader(status int)      { r.status = status }
+func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+
 func exempt(r *http.Request) bool {
 	switch r.URL.Path {
 	case pathFaults, pathLedger, pathCounters:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -367,3 +367,8 @@
 }
 
 func (w *Worker) time(now time.Duration) model.WorkerTime { return model.WorkerTime(now + w.offset) }
+
+// VM returns the worker's entry in the VM list.
+func (w *Worker) VM(dc model.DataCentre, address string) model.VM {
+	return model.VM{Name: string(w.cfg.Name), Kind: model.VMWorker, DataCentre: dc, Address: address, Rack: w.cfg.Rack}
+}
