Worker cache with placement, and class queues

placement holds the workers, tasks and quotas of one data centre and chooses workers for tasks and gangs, and batch tasks to stop for urgent work. queue orders waiting work and keeps run-time statistics, the straggler share, headroom and forecasts. Both are pure.

--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// PlaceGang chooses workers for all of rs, in the order of rs, or for none. It
+// changes nothing. Members are tried from the largest to the smallest; for
+// members of equal demand the search is exact, otherwise it may miss a
+// placement that exists.
+func (c *Cache) PlaceGang(rs []Request) ([]model.WorkerName, Denial) {
+	if !c.CanEverFitGang(rs) {
+		return nil, DenialNeverFits
+	}
+	order := make([]int, len(rs))
+	for i := range order {
+		order[i] = i
+	}
+	whole := c.capacity.Max(model.Resources{MilliCPU: 1, MemoryMB: 1, Accelerators: 1, Slots: 1, Connections: 1})
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(share(rs[b].Need, whole), share(rs[a].Need, whole))
+	})
+	held := make([]model.TaskID, 0, len(rs))
+	defer func() {
+		for _, id := range held {
+			c.Release(id)
+		}
+	}()
+	chosen := make([]model.WorkerName, len(rs))
+	for _, i := range order {
+		r := rs[i]
+		at, d := c.place(r)
+		if d != DenialNone {
+			return nil, d
+		}
+		chosen[i] = c.workers[at].name
+		// A name with a zero byte can't clash with a task of the caller.
+		id := "\x00gang\x00" + model.NewTaskID("", i, 0)
+		held = append(held, id)
+		c.add(c.workers[at], model.TaskSpec{
+			ID: id, Service: r.Service, Class: r.Class, Team: r.Team, Resources: r.Need,
+		}, model.Resources{}, 0)
+	}
+	return chosen, DenialNone
+}
+
+// share returns the largest part that need takes of whole, in 2^-31.
+func share(need, whole model.Resources) int64 {
+	d := dominant(need, whole)
+	return d.of(need) << remainderBits / d.of(whole)
+}
+
+// CanEverFitGang reports whether the known workers could hold all of rs at once
+// if they were empty: each member on some worker, and the sum in total. Without
+// any worker nothing is known, and it reports true.
+func (c *Cache) CanEverFitGang(rs []Request) bool {
+	if len(c.workers) == 0 {
+		return true
+	}
+	var sum, total model.Resources
+	for i := range c.shapes {
+		total = total.Add(c.shapes[i].capacity.Scale(int64(c.shapes[i].workers)))
+	}
+	for i := range rs {
+		if (i == 0 || rs[i].Need != rs[i-1].Need) && !c.CanEverFit(rs[i].Need) {
+			return false
+		}
+		sum = sum.Add(demand(rs[i].Need))
+	}
+	return sum.Fits(total)
+}
--- /dev/null
+++ b/internal/placement/place.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Place chooses a worker for r, or says why there is none. It changes nothing.
+//
+// Among the workers that fit, it prefers in this order: one that r does not
+// avoid; one without accelerators if r needs none; for class service, the rack
+// and then the worker with the fewest tasks of the service; the one that has
+// the least left of r's dominant component; the first by name.
+func (c *Cache) Place(r Request) (model.WorkerName, Denial) {
+	at, d := c.place(r)
+	if d != DenialNone {
+		return "", d
+	}
+	return c.workers[at].name, DenialNone
+}
+
+// place is Place with the row of the worker.
+func (c *Cache) place(r Request) (int, Denial) {
+	need := demand(r.Need)
+	if r.Probe != "" {
+		return c.placeProbe(r.Probe, need)
+	}
+	switch {
+	case !c.CanEverFit(need):
+		return -1, DenialNeverFits
+	case !c.quotaAllows(r.Team, need):
+		return -1, DenialOverQuota
+	case !leaves(c.free, need, r.Reserve):
+		return -1, DenialNoFitNow
+	}
+	racks := c.penalise(r)
+	at := c.scan(need, racks)
+	clear(c.penalty)
+	if at < 0 {
+		return -1, DenialNoFitNow
+	}
+	return at, DenialNone
+}
+
+// placeProbe considers only the named worker, which may be quarantined. A probe
+// is one small task, so neither quota nor reserve holds it back.
+func (c *Cache) placeProbe(name model.WorkerName, need model.Resources) (int, Denial) {
+	w := c.byName[name]
+	if w == nil || w.pos < 0 || w.flags.Leaving || w.flags.Unfenced || !need.Fits(c.rows[w.pos].free) {
+		return -1, DenialNoFitNow
+	}
+	return w.pos, DenialNone
+}
+
+// penalise fills the scratch penalties for avoided workers and for workers that
+// run the same service, and returns the penalties of racks, nil if there are none.
+func (c *Cache) penalise(r Request) []uint64 {
+	for _, name := range r.Avoid {
+		if w := c.byName[name]; w != nil && w.pos >= 0 {
+			c.penalty[w.pos] |= 1 << avoidBit
+		}
+	}
+	s := c.services[r.Service]
+	if r.Class != model.ClassService || s == nil {
+		return nil
+	}
+	racks := make([]uint64, len(c.racks))
+	for w, n := range s.byWorker { // sums only, so the order does not matter
+		if w.pos >= 0 {
+			c.penalty[w.pos] |= uint64(min(n, maxSpread)) << workerSpreadBits
+			racks[c.rows[w.pos].rack] += uint64(n)
+		}
+	}
+	for i := range racks {
+		racks[i] = min(racks[i], maxSpread) << rackSpreadBits
+	}
+	return racks
+}
+
+// scan returns the row with the lowest rank that fits need, or -1.
+func (c *Cache) scan(need model.Resources, racks []uint64) int {
+	ranks := c.ranksOf(need)
+	best, at := uint64(math.MaxUint64), -1
+	for i := range c.rows {
+		r := &c.rows[i]
+		if r.blocked || !need.Fits(r.free) {
+			continue
+		}
+		rank := ranks[r.shape].rank(need, r.free) | c.penalty[i]
+		if racks != nil {
+			rank |= racks[r.rack]
+		}
+		if rank < best {
+			best, at = rank, i
+		}
+	}
+	return at
+}
+
+// ranking holds what the rank on one worker shape needs: the dominant component
+// of the demand, the capacity there, and the accelerator penalty.
+type ranking struct {
+	component   component
+	capacity    int64
+	accelerator uint64
+}
+
+// ranksOf returns the ranking of need for each worker shape.
+func (c *Cache) ranksOf(need model.Resources) []ranking {
+	out := make([]ranking, len(c.shapes))
+	for i := range c.shapes {
+		k := c.shapes[i].capacity
+		d := dominant(need, k)
+		out[i] = ranking{component: d, capacity: max(d.of(k), 1)}
+		if k.Accelerators > 0 && need.Accelerators == 0 {
+			out[i].accelerator = 1 << acceleratorBit
+		}
+	}
+	return out
+}
+
+// rank returns the fraction of the dominant component that is left after the
+// task, as an integer, so that every machine computes the same choice.
+func (k *ranking) rank(need, free model.Resources) uint64 {
+	left := k.component.of(free) - k.component.of(need)
+	return uint64(left)*(1<<remainderBits-1)/uint64(k.capacity) | k.accelerator
+}
+
+// component names one kind of capacity.
+type component uint8
+
+// The components of model.Resources.
+const (
+	milliCPU component = iota
+	memoryMB
+	accelerators
+	slots
+	connections
+	components
+)
+
+// of returns that component of r.
+func (k component) of(r model.Resources) int64 {
+	switch k {
+	case milliCPU:
+		return r.MilliCPU
+	case memoryMB:
+		return r.MemoryMB
+	case accelerators:
+		return r.Accelerators
+	case slots:
+		return r.Slots
+	default:
+		return r.Connections
+	}
+}
+
+// dominant returns the component of which need takes the largest part of
+// capacity, the first of equals.
+func dominant(need, capacity model.Resources) component {
+	best := milliCPU
+	for k := memoryMB; k < components; k++ {
+		// need/capacity compared by cross multiplication; amounts are far below 2^31.
+		if k.of(need)*max(best.of(capacity), 1) > best.of(need)*max(k.of(capacity), 1) {
+			best = k
+		}
+	}
+	return best
+}
+
+// CanEverFit reports whether some known worker could hold need if it were
+// empty. Leaving and quarantined workers count, since their replacements have
+// the same shape. Without any worker nothing is known, and it reports true.
+func (c *Cache) CanEverFit(need model.Resources) bool {
+	need = demand(need)
+	for i := range c.shapes {
+		if c.shapes[i].workers > 0 && need.Fits(c.shapes[i].capacity) {
+			return true
+		}
+	}
+	return len(c.workers) == 0
+}
+
+// WithinQuota reports whether need alone is within the team's quota, whatever
+// the team uses at present. If it is not, waiting does not help.
+func (c *Cache) WithinQuota(team string, need model.Resources) bool {
+	t := c.teams[team]
+	return t == nil || withinQuota(t.quota, demand(need))
+}
+
+// quotaAllows reports whether the team may use need in addition.
+func (c *Cache) quotaAllows(team string, need model.Resources) bool {
+	t := c.teams[team]
+	return t == nil || withinQuota(t.quota, t.used.Add(need))
+}
+
+// withinQuota reports whether use is within quota; a zero component is unlimited.
+func withinQuota(quota, use model.Resources) bool {
+	for k := milliCPU; k < components; k++ {
+		if q := k.of(quota); q > 0 && k.of(use) > q {
+			return false
+		}
+	}
+	return true
+}
+
+// leaves reports whether free minus need still holds reserve in each component
+// that need takes from.
+func leaves(free, need, reserve model.Resources) bool {
+	for k := milliCPU; k < components; k++ {
+		if n := k.of(need); n > 0 && k.of(free)-n < k.of(reserve) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/placement/victims.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Victims returns the fewest, youngest batch tasks on one usable worker whose
+// end makes room for r, out of those that allowed admits. A task in doubt is
+// never chosen, since stopping it would not settle whether it runs. The list is
+// empty if r fits already. Workers in r.Avoid are not considered, and ok is
+// false if the team's quota has no room, because a victim would not help.
+func (c *Cache) Victims(r Request, allowed func(TaskUse) bool) (w model.WorkerName, tasks []model.TaskID, ok bool) {
+	need := demand(r.Need)
+	if !c.quotaAllows(r.Team, need) {
+		return "", nil, false
+	}
+	var best []*task
+	for i := range c.rows {
+		e, free := c.workers[i], c.rows[i].free
+		if c.rows[i].blocked || !need.Fits(free.Add(e.batch)) || slices.Contains(r.Avoid, e.name) {
+			continue
+		}
+		if need.Fits(free) {
+			return e.name, nil, true
+		}
+		found := victimsOn(e, need.Sub(free), allowed)
+		if found != nil && (best == nil || better(found, best)) {
+			w, best = e.name, found
+		}
+	}
+	for _, u := range best {
+		tasks = append(tasks, u.Task)
+	}
+	return w, tasks, best != nil
+}
+
+// victimsOn returns tasks of w that hold at least missing, youngest first, or nil.
+func victimsOn(w *worker, missing model.Resources, allowed func(TaskUse) bool) []*task {
+	var all []*task
+	for _, u := range w.tasks {
+		if u.Class == model.ClassBatch && !u.Doubt && allowed(u.TaskUse) {
+			all = append(all, u)
+		}
+	}
+	slices.SortFunc(all, younger)
+	for _, u := range all {
+		if missing.Fits(u.Use()) {
+			return []*task{u}
+		}
+	}
+	return prune(cover(all, missing), missing)
+}
+
+// cover takes the tasks that give most of what is missing, until nothing is.
+func cover(all []*task, missing model.Resources) []*task {
+	var picked []*task
+	for !missing.Fits(model.Resources{}) {
+		at, most := -1, int64(0)
+		for i, u := range all {
+			if g := gain(u.Use(), missing); g > most {
+				at, most = i, g
+			}
+		}
+		if at < 0 {
+			return nil
+		}
+		picked = append(picked, all[at])
+		missing = missing.Sub(all[at].Use())
+		all = slices.Delete(slices.Clone(all), at, at+1)
+	}
+	slices.SortFunc(picked, younger)
+	return picked
+}
+
+// prune drops the tasks, oldest first, that the others make unnecessary.
+func prune(picked []*task, missing model.Resources) []*task {
+	for i := len(picked) - 1; i >= 0; i-- {
+		var rest model.Resources
+		for j, u := range picked {
+			if j != i {
+				rest = rest.Add(u.Use())
+			}
+		}
+		if missing.Fits(rest) {
+			picked = slices.Delete(picked, i, i+1)
+		}
+	}
+	return picked
+}
+
+// gain returns how much of missing the use covers, as a sum over the components
+// of parts in 2^-20, so that a component counts by how short it is.
+func gain(use, missing model.Resources) int64 {
+	const unit = 1 << 20
+	sum := int64(0)
+	for k := milliCPU; k < components; k++ {
+		if m := k.of(missing); m > 0 {
+			sum += min(k.of(use), m) * unit / m
+		}
+	}
+	return sum
+}
+
+// younger orders the later started task first, and equals by id.
+func younger(a, b *task) int {
+	return cmp.Or(cmp.Compare(b.Since, a.Since), cmp.Compare(a.Task, b.Task))
+}
+
+// better reports whether a is fewer tasks than b, or as many with a later start
+// of the oldest.
+func better(a, b []*task) bool {
+	if len(a) != len(b) {
+		return len(a) < len(b)
+	}
+	return a[len(a)-1].Since > b[len(b)-1].Since
+}
--- /dev/null
+++ b/internal/queue/config.go
@@ -0,0 +1,59 @@
+package queue
+
+import "time"
+
+// Config holds the policy's parameters. Zero fields take the default.
+type Config struct {
+	StragglerShare  float64       // part of all slots that stragglers may hold
+	StragglerFactor float64       // a straggler runs longer than this times its class's median
+	MinSamples      int           // observed run times before a median is trusted
+	MaxOperations   int           // operations with statistics; the least recently used goes first
+	MaxFlows        int           // distinct demands kept in queues of their own
+	BatchHorizon    time.Duration // deadline assumed for work that names none
+	HeadroomMargin  float64       // headroom above the highest recent demand, as a part of it
+	HeadroomMemory  time.Duration // time in which the remembered demand falls to 37%
+}
+
+// DefaultConfig returns the parameters used where an operator sets none.
+func DefaultConfig() Config {
+	return Config{
+		// A quarter leaves short work three quarters of the slots, while
+		// stragglers still progress.
+		StragglerShare: 0.25,
+		// The design page's definition of a straggler.
+		StragglerFactor: 10,
+		// Fewer samples than this can all come from one unusual input.
+		MinSamples: 8,
+		// 290 teams with a few operations each; about 0.6 KB per operation.
+		MaxOperations: 2048,
+		// One pass visits every flow, so this bounds its cost.
+		MaxFlows: 4096,
+		// Overnight work is expected by the next day at the latest.
+		BatchHorizon: 24 * time.Hour,
+		// Room for the start of a swing, until batch work has made way.
+		HeadroomMargin: 0.25,
+		// Demand swings within seconds but returns within minutes.
+		HeadroomMemory: 10 * time.Minute,
+	}
+}
+
+// withDefaults fills the zero fields.
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	set(&c.StragglerShare, d.StragglerShare)
+	set(&c.StragglerFactor, d.StragglerFactor)
+	set(&c.MinSamples, d.MinSamples)
+	set(&c.MaxOperations, d.MaxOperations)
+	set(&c.MaxFlows, d.MaxFlows)
+	set(&c.BatchHorizon, d.BatchHorizon)
+	set(&c.HeadroomMargin, d.HeadroomMargin)
+	set(&c.HeadroomMemory, d.HeadroomMemory)
+	return c
+}
+
+// set gives *v the value def if it is not positive.
+func set[T int | float64 | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
