--- /dev/null
+++ b/internal/ownership/fold.go
@@ -0,0 +1,93 @@
+package ownership
+
+import (
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/record"
+)
+
+// FoldClaim folds a claim in offset order. It is accepted only if its epoch
+// follows the current one.
+func (s *State) FoldClaim(now model.Time, c record.Claim) (accepted bool) {
+	s.touch(now)
+	if c.Epoch != s.epoch+1 {
+		return false
+	}
+	s.accept(now, c, false)
+	return true
+}
+
+// FoldSnapshotClaim folds the claim of a snapshot, which may skip epochs whose
+// claims the log has forgotten.
+func (s *State) FoldSnapshotClaim(now model.Time, c record.Claim) (accepted bool) {
+	s.touch(now)
+	if c.Epoch <= s.epoch {
+		return false
+	}
+	s.accept(now, c, c.Epoch != s.epoch+1)
+	return true
+}
+
+// FoldRelease folds an owner's release. It is accepted only for the current
+// epoch.
+func (s *State) FoldRelease(now model.Time, r record.Release) (accepted bool) {
+	s.touch(now)
+	if s.claim == nil || r.Epoch != s.epoch || s.released {
+		return false
+	}
+	s.released = true
+	s.vacantSince = now
+	if s.vouchedTo == s.claim.Owner.Incarnation {
+		s.vouchedUntil = none // whoever it was promised to has stopped by itself
+	}
+	s.asking = nil
+	clear(s.vouchers)
+	return true
+}
+
+// accept makes c the claim in force. Skipped says that epochs in between are
+// unknown.
+func (s *State) accept(now model.Time, c record.Claim, skipped bool) {
+	self := s.cfg.Self.Incarnation
+	first := s.claim == nil && !skipped
+	sameOwner := s.claim != nil && !skipped && s.claim.Owner.Incarnation == c.Owner.Incarnation
+	if !first && !s.released && !sameOwner {
+		// A release does not shorten a wait that an earlier claim began: the
+		// owner before the one that released may still have evidence.
+		s.safeFrom = max(s.safeFrom, now.Add(s.cfg.Lease+s.cfg.Margin))
+	}
+	if !sameOwner {
+		clear(s.vouchers)
+		if c.Owner.Incarnation == self && s.claim != nil {
+			s.prevElectors = s.claim.Electors
+		}
+	}
+	s.epoch, s.claim, s.released = c.Epoch, &c, false
+	s.seen = max(s.seen, c.Epoch)
+	s.asking = nil
+	s.vacantSince = none
+	s.refusedAt, s.majorityAt = none, now
+	if s.pending != nil && s.pending.claim.Epoch <= c.Epoch {
+		s.pending = nil
+	}
+	if c.Owner.Incarnation != self {
+		s.heardOwner = now // it gets the usual time before it is suspected
+		s.suspendedSince, s.quiet = none, false
+	}
+}
+
+// LogRead notes a read that succeeded, after its records were folded.
+// StartedAt is when the read was sent; atTail says that nothing newer existed.
+func (s *State) LogRead(startedAt model.Time, atTail bool) {
+	s.atTail = atTail
+	if !atTail {
+		return
+	}
+	s.everTail = true
+	s.lastTail = max(s.lastTail, startedAt)
+}
+
+// LogFailed notes a read that failed. Nobody claims until a read succeeds.
+func (s *State) LogFailed(now model.Time) {
+	s.touch(now)
+	s.atTail = false
+}
