Event loop of an instance

One goroutine owns the reducer and never blocks: results come back through a bounded queue, and refusals that it makes itself through a local list. Callers have a queue of their own, so that a rush of them holds up no heartbeat or log read. core.New takes the text parser, since adopted texts have to be parsed too, and the Text effect gives readers the text in force.

--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -22,6 +22,7 @@
 	Observe *Observe       `json:"observe,omitempty"`
 	Change  *Change        `json:"change,omitempty"`
 	Ready   *Ready         `json:"ready,omitempty"`
+	Text    *TextInForce   `json:"text,omitempty"`
 	Exit    *Exit          `json:"exit,omitempty"`
 }
 
@@ -116,6 +117,15 @@
 	Reason model.Code `json:"reason,omitempty"`
 }
 
+// TextInForce is a service text that has come into force. The driver keeps the
+// last one for readers.
+type TextInForce struct {
+	Version uint64 `json:"version"`
+	Hash    uint64 `json:"hash"`
+	ID      string `json:"id"` // publish id that made this version
+	Text    []byte `json:"text"`
+}
+
 // Exit says that the instance has drained and may stop.
 type Exit struct{}
 
--- /dev/null
+++ b/internal/driver/calls.go
@@ -0,0 +1,108 @@
+package driver
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Submit hands a caller's request to the reducer and waits for its answer. It
+// sets the request id and the wall clock. A submission that the event loop
+// can't take is answered not_run, since nothing was started. The error is an
+// OverloadedError (queries and cancellations only), a GoneError or a
+// StoppedError; after the last two the outcome is not known.
+func (d *Driver) Submit(ctx context.Context, call core.Call) (model.Answer, error) {
+	call.Request = d.nextRequest()
+	call.Wall = wall()
+	answer, err := await(ctx, d, &d.answers, call.Request, core.Event{Call: &call})
+	if _, full := err.(*OverloadedError); full {
+		if call.Kind == message.ForwardRequest || call.Kind == message.ForwardJob {
+			return model.Answer{Outcome: model.OutcomeNotRun, Code: model.CodeOverloaded, Message: err.Error()}, nil
+		}
+	}
+	return answer, err
+}
+
+// Publish checks a text and hands it to the reducer. A repeated id is taken as
+// a retry. The errors are those of Submit and TextInvalidError.
+func (d *Driver) Publish(ctx context.Context, id string, base uint64, text []byte) (core.PublishAnswer, error) {
+	parsed, err := d.cfg.Parse(text)
+	if err != nil {
+		return core.PublishAnswer{}, &TextInvalidError{Cause: err}
+	}
+	p := core.Publish{Request: d.nextRequest(), ID: id, Base: base, Text: text, Parsed: parsed}
+	return await(ctx, d, &d.publishes, p.Request, core.Event{Publish: &p})
+}
+
+// Status returns the operators' view. The errors are those of Submit.
+func (d *Driver) Status(ctx context.Context) (core.StatusReport, error) {
+	s := core.Status{Request: d.nextRequest()}
+	return await(ctx, d, &d.statuses, s.Request, core.Event{Status: &s})
+}
+
+// Text returns the text in force, or nil before the first one.
+func (d *Driver) Text() *TextInForce { return d.text.Load() }
+
+// Ready reports whether the instance takes new work, and why not.
+func (d *Driver) Ready() (bool, model.Code) {
+	r := d.ready.Load()
+	return r.Ready, r.Reason
+}
+
+// Drain asks the reducer to hand over and finish. Exited tells when it has.
+func (d *Driver) Drain() { d.result(core.Event{Drain: &core.Drain{}}) }
+
+// Exited returns a channel that is closed when the instance has drained.
+func (d *Driver) Exited() <-chan struct{} { return d.exited }
+
+// Load is the length of the driver's queues.
+type Load struct {
+	Events int // results, log reads and messages
+	Calls  int // callers' requests that the reducer has not seen yet
+	Open   int // requests without an answer
+}
+
+// Load returns the length of the driver's queues.
+func (d *Driver) Load() Load {
+	return Load{Events: len(d.events), Calls: len(d.calls), Open: d.answers.len()}
+}
+
+// nextRequest returns an id that no other run of an instance uses.
+func (d *Driver) nextRequest() model.RequestID {
+	n := d.requests.Add(1)
+	return model.RequestID(string(d.cfg.Core.Self.Incarnation) + "-" + strconv.FormatUint(n, 36))
+}
+
+// await queues a call and waits for its answer. When the caller's context ends
+// first, the reducer is told.
+func await[T any](ctx context.Context, d *Driver, w *waiters[T], id model.RequestID, ev core.Event) (T, error) {
+	var none T
+	ch := w.add(id)
+	defer w.remove(id)
+	select {
+	case d.calls <- ev:
+	default:
+		return none, &OverloadedError{}
+	}
+	select {
+	case v := <-ch:
+		return v, nil
+	case <-ctx.Done():
+		// The call may still wait in its queue. Gone goes through the same
+		// queue, so that it can't overtake the call.
+		go d.gone(id)
+		return none, &GoneError{Cause: ctx.Err()}
+	case <-d.stopped:
+		return none, &StoppedError{}
+	}
+}
+
+func (d *Driver) gone(id model.RequestID) {
+	select {
+	case d.calls <- core.Event{Gone: &core.Gone{Request: id}}:
+	case <-d.stopped:
+	}
+}
--- /dev/null
+++ b/internal/driver/record.go
@@ -0,0 +1,118 @@
+package driver
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// header is the first line of an event file.
+type header struct {
+	Config core.Config `json:"config"`
+}
+
+// line is one event with the hash of the effects that followed from it.
+type line[E core.Event | json.RawMessage] struct {
+	Now   model.Time `json:"now"`
+	Event E          `json:"event"`
+	Hash  string     `json:"hash"` // xxhash of the effects as JSON
+}
+
+// recorder writes an event file. It flushes at ticks, so that a crash loses
+// at most one tick interval.
+type recorder struct {
+	w   *bufio.Writer
+	enc *json.Encoder
+	err error
+}
+
+func newRecorder(w io.Writer, cfg core.Config) *recorder {
+	r := &recorder{w: bufio.NewWriter(w)}
+	r.enc = json.NewEncoder(r.w)
+	r.err = r.enc.Encode(header{Config: cfg})
+	return r
+}
+
+// event encodes an event. It must be called before the event's step, since the
+// reducer may keep and change parts of the event.
+func (r *recorder) event(ev core.Event) json.RawMessage {
+	b, err := json.Marshal(ev)
+	if r.err == nil {
+		r.err = err
+	}
+	return b
+}
+
+// write appends one line. The error is a RecordError.
+func (r *recorder) write(now model.Time, event json.RawMessage, flush bool, effects []core.Effect) error {
+	hash, err := hashEffects(effects)
+	if r.err == nil {
+		r.err = err
+	}
+	if r.err == nil {
+		r.err = r.enc.Encode(line[json.RawMessage]{Now: now, Event: event, Hash: hash})
+	}
+	if r.err == nil && flush {
+		r.err = r.w.Flush()
+	}
+	if r.err != nil {
+		return &RecordError{Cause: r.err}
+	}
+	return nil
+}
+
+func (r *recorder) close() error {
+	if err := r.w.Flush(); err != nil {
+		return &RecordError{Cause: err}
+	}
+	return nil
+}
+
+func hashEffects(effects []core.Effect) (string, error) {
+	b, err := json.Marshal(effects)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64(b)), nil
+}
+
+// Replay feeds the events of an event file to a new reducer and compares the
+// effects with the recorded ones. It returns the number of events that agreed.
+// The error is a RecordError or, at the first difference, a ReplayError.
+func Replay(r io.Reader, parse func([]byte) (*model.Text, error)) (int, error) {
+	dec := json.NewDecoder(bufio.NewReader(r))
+	var h header
+	if err := dec.Decode(&h); err != nil {
+		return 0, &RecordError{Line: 1, Cause: err}
+	}
+	c := core.New(h.Config, parse)
+	for n := 0; ; n++ {
+		var l line[core.Event]
+		if err := dec.Decode(&l); errors.Is(err, io.EOF) {
+			return n, nil
+		} else if err != nil {
+			return n, &RecordError{Line: n + 2, Cause: err}
+		}
+		if p := l.Event.Publish; p != nil {
+			parsed, err := parse(p.Text)
+			if err != nil {
+				return n, &RecordError{Line: n + 2, Cause: err}
+			}
+			p.Parsed = parsed
+		}
+		got, err := hashEffects(c.Step(l.Now, l.Event))
+		if err != nil {
+			return n, &RecordError{Line: n + 2, Cause: err}
+		}
+		if got != l.Hash {
+			return n, &ReplayError{Line: n + 2, Want: l.Hash, Got: got}
+		}
+	}
+}
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -111,3 +111,7 @@
 
 // Code returns CodeListen.
 func (e *ListenError) Code() model.Code { return CodeListen }
+
+// NotSent reports that the message had no effect. It lets callers tell the
+// error without importing this package.
+func (e *NotSentError) NotSent() bool { return true }
