HTTP API and telemetry

The API maps typed codes to statuses in one place. A query that was not carried out has no not_run outcome, since that would be a statement about the job. Label values are bounded, so that a label can't use up the memory.

--- /dev/null
+++ b/internal/api/operate.go
@@ -0,0 +1,124 @@
+package api
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/gentianpick/gentianpick/internal/driver"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/wire"
+)
+
+func (s *server) text(w http.ResponseWriter, _ *http.Request) {
+	t := s.cfg.Instance.Text()
+	if t == nil {
+		reply(w, codeStatus(model.CodeNotReady), wire.Published{Code: model.CodeNotReady, Message: "no text is in force"})
+		return
+	}
+	reply(w, http.StatusOK, wire.Text{Version: t.Version, Hash: wire.FormatHash(t.Hash), ID: t.ID, Text: string(t.Text)})
+}
+
+// publish proposes a text. Without an id it makes one; the answer has it.
+func (s *server) publish(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	id := q.Get(wire.ParamID)
+	if id == "" {
+		id = uuid.NewString()
+	}
+	base, err := strconv.ParseUint(q.Get(wire.ParamBase), 10, 64)
+	if err != nil {
+		s.published(w, wire.Published{ID: id, Code: model.CodeBadRequest, Message: "base: is not a version number"})
+		return
+	}
+	text, err := readBody(w, r, textLimit)
+	if err != nil {
+		s.published(w, wire.Published{ID: id, Code: codeOf(err), Message: err.Error()})
+		return
+	}
+	a, err := s.cfg.Instance.Publish(r.Context(), id, base, text)
+	if err != nil {
+		s.published(w, publishFailure(id, err))
+		return
+	}
+	s.published(w, wire.Published{Accepted: a.Accepted, Version: a.Version, ID: id, Code: a.Code})
+}
+
+// publishFailure returns the body for a publish without an answer.
+func publishFailure(id string, err error) wire.Published {
+	p := wire.Published{ID: id, Code: model.CodeLogUnavailable, Message: err.Error()}
+	var invalid *driver.TextInvalidError
+	var full *driver.OverloadedError
+	switch {
+	case errors.As(err, &invalid):
+		p.Code = model.CodeTextInvalid
+	case errors.As(err, &full):
+		p.Code = model.CodeOverloaded
+	}
+	return p
+}
+
+func (s *server) published(w http.ResponseWriter, p wire.Published) {
+	status := http.StatusOK
+	if !p.Accepted {
+		status = codeStatus(p.Code)
+	}
+	if t := s.cfg.Instance.Text(); t != nil && p.Version == 0 {
+		p.Version = t.Version
+	}
+	reply(w, status, p)
+}
+
+func (s *server) status(w http.ResponseWriter, r *http.Request) {
+	report, err := s.cfg.Instance.Status(r.Context())
+	if err != nil {
+		code := model.CodeNotReady
+		var full *driver.OverloadedError
+		if errors.As(err, &full) {
+			code = model.CodeOverloaded
+		}
+		reply(w, codeStatus(code), readiness{Code: code})
+		return
+	}
+	reply(w, http.StatusOK, report)
+}
+
+func (s *server) burn(w http.ResponseWriter, _ *http.Request) {
+	t := s.cfg.Instance.Text()
+	if t == nil || s.cfg.Burn == nil {
+		reply(w, codeStatus(model.CodeNotReady), readiness{Code: model.CodeNotReady})
+		return
+	}
+	reply(w, http.StatusOK, s.cfg.Burn.Report(t.Parsed))
+}
+
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	send(w, http.StatusOK, "text/plain; charset=utf-8", []byte("ok\n"))
+}
+
+// readiness is the body of /readyz and of operators' requests that can't be
+// answered.
+type readiness struct {
+	Ready bool       `json:"ready"`
+	Code  model.Code `json:"code,omitempty"`
+}
+
+func (s *server) ready(w http.ResponseWriter, _ *http.Request) {
+	ready, code := s.cfg.Instance.Ready()
+	status := http.StatusOK
+	if !ready {
+		status = http.StatusServiceUnavailable
+	}
+	reply(w, status, readiness{Ready: ready, Code: code})
+}
+
+func (s *server) metrics(w http.ResponseWriter, _ *http.Request) {
+	var b bytes.Buffer
+	if s.cfg.Metrics != nil {
+		s.cfg.Metrics(&b)
+	}
+	send(w, http.StatusOK, "text/plain; version=0.0.4; charset=utf-8", b.Bytes())
+}
--- /dev/null
+++ b/internal/api/work.go
@@ -0,0 +1,165 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/driver"
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/wire"
+)
+
+// coded is implemented by every error of this program.
+type coded interface{ Code() model.Code }
+
+// codeOf returns the code of an error.
+func codeOf(err error) model.Code {
+	var c coded
+	if errors.As(err, &c) {
+		return c.Code()
+	}
+	return model.CodeInternal
+}
+
+// BodyError reports a body that could not be read: above the limit, or cut
+// short.
+type BodyError struct {
+	code  model.Code
+	Cause error
+}
+
+func (e *BodyError) Error() string { return "request body: " + e.Cause.Error() }
+
+// Unwrap returns the reader's error.
+func (e *BodyError) Unwrap() error { return e.Cause }
+
+// Code returns model.CodeBodyTooLarge or model.CodeBadRequest.
+func (e *BodyError) Code() model.Code { return e.code }
+
+// readBody reads a whole body. The read deadline is removed afterwards, since
+// the server would take it for a caller who has gone.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &large):
+		return nil, &BodyError{code: model.CodeBodyTooLarge, Cause: err}
+	default:
+		return nil, &BodyError{code: model.CodeBadRequest, Cause: err}
+	}
+}
+
+// submission reads a submission. The error has a code.
+func submission(w http.ResponseWriter, r *http.Request) (model.Submission, error) {
+	body, err := readBody(w, r, bodyLimit)
+	if err != nil {
+		return model.Submission{}, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	var in wire.Submit
+	if err := dec.Decode(&in); err != nil {
+		return model.Submission{}, &wire.BadRequestError{Field: "body", Reason: err.Error()}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return model.Submission{}, &wire.BadRequestError{Field: "body", Reason: "has data after the JSON value"}
+	}
+	return in.Submission()
+}
+
+func (s *server) request(w http.ResponseWriter, r *http.Request) {
+	s.submit(w, r, message.ForwardRequest)
+}
+
+func (s *server) job(w http.ResponseWriter, r *http.Request) { s.submit(w, r, message.ForwardJob) }
+
+func (s *server) submit(w http.ResponseWriter, r *http.Request, kind message.ForwardKind) {
+	start := time.Now()
+	sub, err := submission(w, r)
+	if err != nil {
+		refuse(w, codeOf(err), err.Error())
+		return
+	}
+	wait := s.cfg.MaxDeadline
+	if kind == message.ForwardRequest && sub.Deadline > 0 {
+		wait = min(wait, sub.Deadline)
+	}
+	call := core.Call{Kind: kind, Submission: sub, Wait: wait}
+	a, ok := s.call(w, r, call, wait)
+	if !ok {
+		return
+	}
+	if text := s.cfg.Instance.Text(); s.cfg.Burn != nil && text != nil {
+		s.cfg.Burn.Answered(text.Parsed, sub.Service, a, time.Since(start))
+	}
+	if a.Job != "" {
+		w.Header().Set("Location", wire.PathJobs+"/"+url.PathEscape(string(a.Job)))
+	}
+	answer(w, a)
+}
+
+func (s *server) query(w http.ResponseWriter, r *http.Request) {
+	wait, err := wire.ParseDuration(wire.ParamWait, r.URL.Query().Get(wire.ParamWait))
+	if err != nil {
+		refuseQuery(w, err)
+		return
+	}
+	s.byID(w, r, message.ForwardQuery, min(wait, waitLimit))
+}
+
+func (s *server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.byID(w, r, message.ForwardCancel, 0)
+}
+
+func (s *server) byID(w http.ResponseWriter, r *http.Request, kind message.ForwardKind, wait time.Duration) {
+	id := model.JobID(r.PathValue("id"))
+	if id == "" {
+		refuseQuery(w, &wire.BadRequestError{Field: "id", Reason: "is required"})
+		return
+	}
+	if a, ok := s.call(w, r, core.Call{Kind: kind, Job: id, Wait: wait}, wait); ok {
+		answer(w, a)
+	}
+}
+
+// refuseQuery answers a query or cancellation that can't be understood. It has
+// no outcome, since it says nothing about the job.
+func refuseQuery(w http.ResponseWriter, err error) {
+	code := codeOf(err)
+	reply(w, codeStatus(code), wire.Answer{Code: code, Message: err.Error()})
+}
+
+// call hands a call to the instance. It reports false if the caller has gone.
+func (s *server) call(w http.ResponseWriter, r *http.Request, call core.Call, wait time.Duration) (model.Answer, bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), wait+answerSlack)
+	defer cancel()
+	a, err := s.cfg.Instance.Submit(ctx, call)
+	if err == nil {
+		return a, true
+	}
+	if r.Context().Err() != nil {
+		return a, false
+	}
+	// What became of the call is not known: the instance stopped, or gave no
+	// answer in time. An overloaded query was not carried out.
+	a = model.Answer{Job: call.Job, Outcome: model.OutcomeUnknown, Code: model.CodeDeadline, Message: err.Error()}
+	var full *driver.OverloadedError
+	if errors.As(err, &full) {
+		a.Code = model.CodeOverloaded
+	}
+	return a, true
+}
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -22,7 +22,6 @@
 	Observe *Observe       `json:"observe,omitempty"`
 	Change  *Change        `json:"change,omitempty"`
 	Ready   *Ready         `json:"ready,omitempty"`
-	Text    *TextInForce   `json:"text,omitempty"`
 	Exit    *Exit          `json:"exit,omitempty"`
 	Text    *TextInForce   `json:"text,omitempty"`
 }
@@ -126,15 +125,6 @@
 	Reason model.Code `json:"reason,omitempty"`
 }
 
-// TextInForce is a service text that has come into force. The driver keeps the
-// last one for readers.
-type TextInForce struct {
-	Version uint64 `json:"version"`
-	Hash    uint64 `json:"hash"`
-	ID      string `json:"id"` // publish id that made this version
-	Text    []byte `json:"text"`
-}
-
 // Exit says that the instance has drained and may stop.
 type Exit struct{}
 
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,137 @@
+// Package telemetry turns what the reducer reports into counters, histograms
+// and log lines.
+package telemetry
+
+import (
+	"io"
+	"strconv"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/driver"
+	"github.com/gentianpick/gentianpick/internal/peer"
+)
+
+const (
+	prefix = "gentianpick_"
+	// labelLimit bounds the label values of one metric, so that a label with an
+	// unbounded set of values can't use up the memory. It is above the number
+	// of services in a text of the target size.
+	labelLimit = 2000
+	// overflow replaces label values above labelLimit.
+	overflow = "other"
+)
+
+// series identifies one counter or histogram.
+type series struct{ name, label string }
+
+// Telemetry is the driver's sink. It is safe for concurrent use.
+type Telemetry struct {
+	set *metrics.Set
+	log log.Logger
+
+	mu         sync.Mutex
+	labels     map[string]int // label values of each metric
+	counters   map[series]*metrics.Counter
+	histograms map[series]*metrics.Histogram
+}
+
+var _ driver.Sink = (*Telemetry)(nil)
+
+// New returns a telemetry that writes log lines as JSON to w.
+func New(w io.Writer) *Telemetry {
+	return &Telemetry{
+		set:        metrics.NewSet(),
+		log:        log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: w}},
+		labels:     map[string]int{},
+		counters:   map[series]*metrics.Counter{},
+		histograms: map[series]*metrics.Histogram{},
+	}
+}
+
+// Count implements driver.Sink.
+func (t *Telemetry) Count(c core.Count) {
+	find(t, t.counters, series{c.Name, c.Label}, t.set.GetOrCreateCounter).Add(c.N)
+}
+
+// Observe implements driver.Sink.
+func (t *Telemetry) Observe(o core.Observe) {
+	find(t, t.histograms, series{o.Name, o.Label}, t.set.GetOrCreateHistogram).Update(o.Seconds)
+}
+
+// Change implements driver.Sink. It writes one log line.
+func (t *Telemetry) Change(c core.Change) {
+	e := t.log.Info()
+	for _, f := range [...]struct{ name, value string }{{"subject", c.Subj}, {"from", c.From}, {"to", c.To}} {
+		if f.value != "" {
+			e = e.Str(f.name, f.value)
+		}
+	}
+	e.Msg(c.What)
+}
+
+// find returns the metric of a series and makes it at first use.
+func find[M any](t *Telemetry, known map[series]M, s series, create func(string) M) M {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := known[s]
+	if ok {
+		return m
+	}
+	if s.label != "" && t.labels[s.name] >= labelLimit {
+		s.label = overflow
+	} else if s.label != "" {
+		t.labels[s.name]++
+	}
+	name := prefix + s.name
+	if s.label != "" {
+		name += "{kind=" + strconv.Quote(s.label) + "}"
+	}
+	m = create(name)
+	if s.label != overflow {
+		known[s] = m
+	}
+	return m
+}
+
+// Driver adds gauges of a driver's queues.
+func (t *Telemetry) Driver(d *driver.Driver) {
+	t.set.NewGauge(prefix+"event_queue_length", func() float64 { return float64(d.Load().Events) })
+	t.set.NewGauge(prefix+"call_queue_length", func() float64 { return float64(d.Load().Calls) })
+	t.set.NewGauge(prefix+"open_requests", func() float64 { return float64(d.Load().Open) })
+	t.set.NewGauge(prefix+"ready", func() float64 {
+		if ready, _ := d.Ready(); ready {
+			return 1
+		}
+		return 0
+	})
+	t.set.NewGauge(prefix+"text_version", func() float64 {
+		if text := d.Text(); text != nil {
+			return float64(text.Version)
+		}
+		return 0
+	})
+}
+
+// Peers adds the byte counts of a transport.
+func (t *Telemetry) Peers(p *peer.Transport) {
+	near, far := p.Traffic()
+	for _, k := range [...]struct {
+		name    string
+		traffic *peer.Traffic
+	}{{"own_data_centre", near}, {"other", far}} {
+		label := "{kind=" + strconv.Quote(k.name) + "}"
+		t.set.NewGauge(prefix+"peer_sent_bytes_total"+label, func() float64 { return float64(k.traffic.Sent.Load()) })
+		t.set.NewGauge(prefix+"peer_received_bytes_total"+label, func() float64 { return float64(k.traffic.Received.Load()) })
+	}
+}
+
+// Write writes every metric and those of the process in the Prometheus text
+// format.
+func (t *Telemetry) Write(w io.Writer) {
+	t.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
