--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -10,6 +10,7 @@
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/driver"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/servicetext"
 	"github.com/gentianpick/gentianpick/internal/wire"
 )
 
@@ -25,11 +26,9 @@
 	idleTimeout = 2 * time.Minute
 	// headerBytes bounds a request's header.
 	headerBytes = 64 << 10
-	// bodyLimit bounds a submission. Encoded once more for a peer it stays below
-	// the transport's limit of 16 MiB for a message.
-	bodyLimit = 8 << 20
-	// textLimit bounds a service text, which has to fit into one peer message too.
-	textLimit = 4 << 20
+	// bodyLimit bounds a submission. JSON text takes at most six bytes for each
+	// byte of the largest body; the rest is for the other fields.
+	bodyLimit = 6*servicetext.MaxBodyBytes + 64<<10
 	// openLimit bounds the memory of requests in progress. It is below the
 	// reducer's limit of waiting requests, so that the reducer still orders them.
 	openLimit = 16384
--- a/internal/api/operate.go
+++ b/internal/api/operate.go
@@ -10,6 +10,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/driver"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/servicetext"
 	"github.com/gentianpick/gentianpick/internal/wire"
 )
 
@@ -34,7 +35,7 @@
 		s.published(w, wire.Published{ID: id, Code: model.CodeBadRequest, Message: "base: is not a version number"})
 		return
 	}
-	text, err := readBody(w, r, textLimit)
+	text, err := readBody(w, r, servicetext.MaxBytes)
 	if err != nil {
 		s.published(w, wire.Published{ID: id, Code: codeOf(err), Message: err.Error()})
 		return
@@ -55,12 +56,26 @@
 	switch {
 	case errors.As(err, &invalid):
 		p.Code = model.CodeTextInvalid
+		p.Errors = textErrors(err)
 	case errors.As(err, &full):
 		p.Code = model.CodeOverloaded
 	}
 	return p
 }
 
+// textErrors returns the single errors of a text that does not parse.
+func textErrors(err error) []wire.TextError {
+	var found *servicetext.Errors
+	if !errors.As(err, &found) {
+		return nil
+	}
+	list := make([]wire.TextError, len(found.List))
+	for i, e := range found.List {
+		list[i] = wire.TextError{Code: string(e.Code), Line: e.Line, Path: e.Path, Message: e.Message}
+	}
+	return list
+}
+
 func (s *server) published(w http.ResponseWriter, p wire.Published) {
 	status := http.StatusOK
 	if !p.Accepted {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -24,7 +24,7 @@
 	eventQueue = 4096
 	// callQueue bounds callers' requests that wait for the reducer. They have a
 	// queue of their own, so that a rush of callers holds up no heartbeat. At
-	// 50 µs a step the last one waits for about 100 ms.
+	// the target of 50 µs a decision the last one waits for about 100 ms.
 	callQueue = 2048
 	// messageWait is how long a peer's message waits for space in the event
 	// queue before it is refused. It is far below the sender's deadline of 1 s.
--- a/internal/driver/readers.go
+++ b/internal/driver/readers.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/platform"
 	"github.com/gentianpick/gentianpick/internal/record"
 )
 
@@ -23,8 +24,8 @@
 	ownGrace    = 700 * time.Millisecond
 	configGrace = 2 * time.Second
 	// lastReadTimeout bounds the growth of the time-out after failed reads, which
-	// lets a slow log make progress.
-	lastReadTimeout = 8 * time.Second
+	// lets a slow log make progress. It equals the platform adapter's own limit.
+	lastReadTimeout = platform.CallTimeout
 	// firstReadPause and lastReadPause bound the jittered pause after a failure.
 	firstReadPause = 200 * time.Millisecond
 	lastReadPause  = time.Second
