--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -25,6 +25,8 @@
 		ErrWriter: stderr,
 		Commands: []*cli.Command{
 			standinCommand(),
+			serveCommand(),
+			replayCommand(),
 		},
 	}
 	if err := app.Run(ctx, args); err != nil {
--- /dev/null
+++ b/internal/cli/demo.go
@@ -0,0 +1,185 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/httpjson"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/wire"
+)
+
+const (
+	// demoPause is the pause between two looks at the instance's state.
+	demoPause = 100 * time.Millisecond
+	// demoWait bounds each step of the sample. The first one includes the wait
+	// for the lease of a possible predecessor.
+	demoWait = 20 * time.Second
+)
+
+// DemoError reports a sample step that did not end as it should.
+type DemoError struct {
+	Step   string
+	Detail string
+}
+
+func (e *DemoError) Error() string { return "sample " + e.Step + ": " + e.Detail }
+
+// sample is one submission of the sample.
+type sample struct {
+	path   string
+	submit wire.Submit
+}
+
+// samples are submissions to the services of standalone.jsonc. The bodies tell
+// the stand-in workers how long to run and what to return.
+var samples = []sample{
+	{wire.PathRequests, wire.Submit{Service: "preview", BodyText: `{"run_ms":20,"result":"a preview"}`}},
+	{wire.PathRequests, wire.Submit{Service: "booking", Key: "order-1", BodyText: `{"run_ms":20,"result":"booked"}`}},
+	{wire.PathRequests, wire.Submit{Service: "booking", Key: "order-1", BodyText: `{"run_ms":20,"result":"booked"}`}},
+	{wire.PathJobs, wire.Submit{Service: "plan", Tasks: 6, BodyText: `{"run_ms":200,"result":"planned"}`}},
+	{wire.PathJobs, wire.Submit{Service: "simulate", Tasks: 4, BodyText: `{"run_ms":200,"result":"simulated"}`}},
+}
+
+// demoClient calls the HTTP API of one instance.
+type demoClient struct {
+	base string
+	http *http.Client
+	out  io.Writer
+}
+
+// demo publishes the sample text, submits the samples, and prints the answers.
+func demo(ctx context.Context, address string, out io.Writer) error {
+	c := &demoClient{base: "http://" + address, http: httpjson.NewClient(2), out: out}
+	err := c.run(ctx)
+	if err != nil {
+		fmt.Fprintln(out, err)
+	}
+	fmt.Fprintf(out, "serving on http://%s; try:\n  curl -s -d '%s' http://%s%s\n", address,
+		`{"service":"preview","body_text":"{\"run_ms\":20,\"result\":\"hello\"}"}`, address, wire.PathRequests)
+	return err
+}
+
+func (c *demoClient) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(len(samples)+2)*demoWait)
+	defer cancel()
+	if err := c.publish(ctx); err != nil {
+		return err
+	}
+	if err := c.waitForService(ctx); err != nil {
+		return err
+	}
+	for _, s := range samples {
+		if err := c.submit(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// publish puts the text in force. A repeat with the same id has no second
+// effect.
+func (c *demoClient) publish(ctx context.Context) error {
+	q := url.Values{wire.ParamBase: {"0"}, wire.ParamID: {"standalone"}}
+	var p wire.Published
+	return c.until(ctx, "text", func() (bool, string, error) {
+		_, err := c.call(ctx, http.MethodPut, wire.PathText+"?"+q.Encode(), standaloneText, &p)
+		if p.Accepted {
+			fmt.Fprintf(c.out, "text: version %d is in force\n", p.Version)
+		}
+		return p.Accepted, string(p.Code) + " " + p.Message, err
+	})
+}
+
+// waitForService waits until the instance places work and the long-running
+// service has its instances.
+func (c *demoClient) waitForService(ctx context.Context) error {
+	return c.until(ctx, "service", func() (bool, string, error) {
+		var s wire.Status
+		if _, err := c.call(ctx, http.MethodGet, wire.PathStatus, nil, &s); err != nil {
+			return false, "", err
+		}
+		detail := fmt.Sprintf("acting %t, %d workers", s.Acting, len(s.Workers))
+		if !s.Acting || len(s.Services) == 0 {
+			return false, detail, nil
+		}
+		service := s.Services[0]
+		detail = fmt.Sprintf("%s: %d of %d instances", service.Name, service.Running, service.Want)
+		if service.Running < service.Want {
+			return false, detail, nil
+		}
+		fmt.Fprintf(c.out, "service %s run on %d workers\n", detail, len(s.Workers))
+		return true, "", nil
+	})
+}
+
+// submit submits one sample, waits for its end and prints the answer.
+func (c *demoClient) submit(ctx context.Context, s sample) error {
+	body, err := json.Marshal(s.submit)
+	if err != nil {
+		return &DemoError{Step: s.submit.Service, Detail: err.Error()}
+	}
+	var a wire.Answer
+	if _, err := c.call(ctx, http.MethodPost, s.path, body, &a); err != nil {
+		return err
+	}
+	first := a.Outcome
+	if first == model.OutcomeAccepted {
+		path := wire.PathJobs + "/" + url.PathEscape(string(a.Job)) + "?" + wire.ParamWait + "=" + demoWait.String()
+		if _, err := c.call(ctx, http.MethodGet, path, nil, &a); err != nil {
+			return err
+		}
+	}
+	line := fmt.Sprintf("%s: %s", s.submit.Service, a.Outcome)
+	if a.Outcome != first {
+		line = fmt.Sprintf("%s: %s, then %s", s.submit.Service, first, a.Outcome)
+	}
+	if a.Tasks != nil {
+		line += ", " + strconv.Itoa(a.Tasks.Done) + " of " + strconv.Itoa(a.Tasks.Total) + " tasks done"
+	}
+	if a.ResultText != "" {
+		line += ", result " + strconv.Quote(a.ResultText)
+	}
+	fmt.Fprintln(c.out, line, a.Job)
+	if a.Outcome != model.OutcomeDone {
+		return &DemoError{Step: s.submit.Service, Detail: string(a.Code) + " " + a.Message}
+	}
+	return nil
+}
+
+// call makes one call and decodes the body, whatever the status.
+func (c *demoClient) call(ctx context.Context, method, path string, body []byte, out any) (int, error) {
+	resp, err := httpjson.Do(ctx, c.http, httpjson.Request{Method: method, URL: c.base + path, Body: body})
+	if err != nil {
+		return 0, err
+	}
+	if err := json.Unmarshal(resp.Body, out); err != nil {
+		return resp.Status, &DemoError{Step: path, Detail: err.Error()}
+	}
+	return resp.Status, nil
+}
+
+// until repeats a step until it is done. The last detail says why it is not.
+func (c *demoClient) until(ctx context.Context, step string, f func() (bool, string, error)) error {
+	deadline := time.Now().Add(demoWait)
+	for {
+		done, detail, err := f()
+		if err != nil || done {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return &DemoError{Step: step, Detail: detail}
+		}
+		select {
+		case <-time.After(demoPause):
+		case <-ctx.Done():
+			return &DemoError{Step: step, Detail: ctx.Err().Error()}
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,111 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/instance"
+)
+
+// defaultHTTP is the API's address in standalone mode.
+const defaultHTTP = "127.0.0.1:7411"
+
+// UsageError reports flags that can't be used together.
+type UsageError struct{ Reason string }
+
+func (e *UsageError) Error() string { return e.Reason }
+
+// FileError reports a file that can't be opened.
+type FileError struct{ Cause error }
+
+func (e *FileError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the system's error.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one instance",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "`FILE` with the instance's settings"},
+			&cli.BoolFlag{Name: "standalone", Usage: "run with a stand-in platform and 8 stand-in workers in this process"},
+			&cli.StringFlag{Name: "http", Usage: "standalone: `IP:port` of the API", Value: defaultHTTP},
+			&cli.BoolFlag{Name: "demo-exit", Usage: "standalone: stop after the sample jobs"},
+			&cli.Uint64Flag{Name: "seed", Usage: "standalone: of random choices", Value: 1},
+			&cli.StringFlag{Name: "record", Usage: "`FILE` that takes every event, for replay"},
+		},
+		Action: runServe,
+	}
+}
+
+func runServe(ctx context.Context, cmd *cli.Command) error {
+	record, closeRecord, err := recordFile(cmd.String("record"))
+	if err != nil {
+		return err
+	}
+	defer closeRecord()
+	switch {
+	case cmd.Bool("standalone") && cmd.String("settings") == "":
+		return runStandalone(ctx, cmd, record)
+	case cmd.Bool("standalone") || cmd.String("settings") == "":
+		return &UsageError{Reason: "give either --settings or --standalone"}
+	}
+	cfg, err := fromSettings(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	cfg.Log, cfg.Record = cmd.Root().ErrWriter, record
+	in, err := instance.New(cfg)
+	if err != nil {
+		return err
+	}
+	return runInstance(ctx, in)
+}
+
+// recordFile opens the event file. Without a name it returns a nil writer.
+func recordFile(name string) (io.Writer, func(), error) {
+	if name == "" {
+		return nil, func() {}, nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return nil, nil, &FileError{Cause: err}
+	}
+	return f, func() { _ = f.Close() }, nil
+}
+
+// runInstance runs an instance until it has drained. The first SIGTERM or
+// SIGINT starts the drain; the second one ends the instance at once.
+func runInstance(ctx context.Context, in *instance.Instance) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	go func() {
+		select {
+		case <-signals:
+			in.Drain()
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return in.Run(ctx)
+}
+
+// fromSettings returns the configuration that a settings file describes.
+func fromSettings(name string) (instance.Config, error) {
+	return instance.Config{}, &UsageError{Reason: fmt.Sprintf("%s: settings are not supported yet", name)}
+}
