--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -39,6 +39,7 @@
 	// acceptPause is the pause after a failed accept, for example when the
 	// process is out of file descriptors.
 	acceptPause = 50 * time.Millisecond
-	// frameLimit bounds one message. Texts and request bodies are far smaller.
-	frameLimit = 16 << 20
+	// frameLimit bounds one message. Texts and request bodies have at most 1 MiB,
+	// and base64 in JSON adds a third.
+	frameLimit = 8 << 20
 )
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
@@ -106,6 +107,14 @@
 		c.notSent(&StateError{Reason: CodeClosed})
 		return
 	}
+	// Encoded before the call counts as being written, since a large message
+	// takes a while.
+	request, err := encode(params{To: c.to.Incarnation, Envelope: c.env})
+	if err != nil {
+		<-p.inFlight
+		c.notSent(err)
+		return
+	}
 	for {
 		l, err := p.connect()
 		if err != nil {
@@ -118,7 +127,7 @@
 			return
 		}
 		begun := l.s.begun.Load()
-		w, err := l.rpc.DispatchCall(p.t.ctx, method, params{To: c.to.Incarnation, Envelope: c.env})
+		w, err := l.rpc.DispatchCall(p.t.ctx, method, request)
 		if err == nil {
 			go p.await(c, w)
 			return
@@ -139,6 +148,15 @@
 	}
 }
 
+// encode returns the parameters of a call or a FrameError.
+func encode(p params) (json.RawMessage, error) {
+	b, err := json.Marshal(p)
+	if err == nil && len(b) > frameLimit {
+		err = &FrameError{Size: len(b)}
+	}
+	return b, err
+}
+
 // await settles a written call with the peer's reply.
 func (p *peer) await(c *call, w jsonrpc2.Waiter) {
 	err := w.Wait(p.t.ctx, nil)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// Traffic counts bytes of frames in each direction.
+// Traffic counts bytes of frames in each direction. A frame whose write fails
+// counts as sent.
 type Traffic struct {
 	Sent     atomic.Uint64
 	Received atomic.Uint64
@@ -59,10 +60,11 @@
 		return err
 	}
 	s.begun.Add(1)
-	n, err := s.conn.Write(frame)
+	// Counted before the write, so that a reply never arrives uncounted.
 	if t := s.traffic.Load(); t != nil {
-		t.Sent.Add(uint64(n))
+		t.Sent.Add(uint64(len(frame)))
 	}
+	_, err = s.conn.Write(frame)
 	return err
 }
 
