--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -22,9 +22,9 @@
 	keyed     bool       // non-idempotent
 	accepted  bool       // the owner has said that the job is durable
 	target    model.Incarnation
-	message   string           // id of the last forward
-	delivered bool             // the target may have taken a forward of this job id
-	maybe     bool             // an earlier target may have run it
+	message   string // id of the last forward
+	delivered bool   // the target may have taken a forward of this job id
+	maybe     bool   // an earlier target may have run it
 	tried     []model.DataCentre
 	misses    int // forwards in a row that certainly were not delivered
 	nextSend  model.Time
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,8 +31,8 @@
 	text  *model.Text // parsed text in force; nil before the first
 	textV uint64
 
-	calls      map[model.RequestID]*call // callers that wait at this instance
-	publishes  map[string]*publishing    // publishers that wait at this instance, by publish id
+	calls     map[model.RequestID]*call // callers that wait at this instance
+	publishes map[string]*publishing    // publishers that wait at this instance, by publish id
 
 	// Folded from the data centre's log stream, the same on every instance.
 	keys    *keys.Table
@@ -70,10 +70,10 @@
 type streamState struct {
 	started  bool
 	next     uint64
-	complete bool       // the state folded from the stream has no gap
-	ok       bool       // the last read succeeded
-	failedAt model.Time // since when reads fail; meaningful if !ok
-	caughtUp bool       // the tail was reached at least once
+	complete bool           // the state folded from the stream has no gap
+	ok       bool           // the last read succeeded
+	failedAt model.Time     // since when reads fail; meaningful if !ok
+	caughtUp bool           // the tail was reached at least once
 	from     uint64         // first offset that was read since the last gap
 	parts    map[uint64]int // by a snapshot's offset: parts read in a row
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -90,7 +90,6 @@
 
 	stopping  bool
 	preempted bool
-	probe     bool
 	nextQuery model.Time
 }
 
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -138,6 +138,11 @@
 		c.applyPublication(c.pub.FoldPublish(offset, *e.Publish))
 	case e.Carry != nil:
 		c.applyPublication(c.pub.FoldCarry(offset, *e.Carry))
+	default:
+		return
+	}
+	// The age of records that were read while catching up is not known.
+	if c.config.caughtUp && offset == c.pub.Folded() {
 		c.pub.NoteWritten(c.now)
 	}
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -106,22 +106,22 @@
 	Task        model.TaskID     `json:"task"`
 	Attempt     int              `json:"attempt"`
 	Worker      model.WorkerName `json:"worker"`
-	Boot        string           `json:"boot"`           // the worker's boot id when the intent was made
-	NotAfter    model.WorkerTime `json:"not_after"`      // on the worker's clock; a later start is refused
+	Boot        string           `json:"boot"`      // the worker's boot id when the intent was made
+	NotAfter    model.WorkerTime `json:"not_after"` // on the worker's clock; a later start is refused
 	Resources   model.Resources  `json:"resources"`
 	Late        bool             `json:"late,omitempty"` // held by electors while the log was out, then appended
 }
 
 // Outcome records what became of an intent.
 type Outcome struct {
-	Epoch       uint64       `json:"epoch"`
-	Service     string       `json:"service"`
-	Key         model.Key    `json:"key"`
-	RequestHash uint64       `json:"request_hash"`
-	Attempt     int          `json:"attempt"`
-	Answer      model.Answer `json:"answer"`
-	Worker model.WorkerName `json:"worker,omitempty"` // that keeps the result until this record is read back
-	Task model.TaskID `json:"task,omitempty"`
+	Epoch       uint64           `json:"epoch"`
+	Service     string           `json:"service"`
+	Key         model.Key        `json:"key"`
+	RequestHash uint64           `json:"request_hash"`
+	Attempt     int              `json:"attempt"`
+	Answer      model.Answer     `json:"answer"`
+	Worker      model.WorkerName `json:"worker,omitempty"` // that keeps the result until this record is read back
+	Task        model.TaskID     `json:"task,omitempty"`
 }
 
 // Snapshot carries still needed state of a data centre's stream forward, so
