--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -2,7 +2,7 @@
 // log and their encoding.
 //
 // One append carries one Batch. Its entries are folded in order at the
-// batch's offset. A batch id that was already folded is ignored, so that an
+// batch's offset. A batch whose sequence number was already folded is ignored, so that an
 // append with a lost answer may be repeated.
 package record
 
@@ -24,7 +24,8 @@
 
 // Batch is the payload of one append.
 type Batch struct {
-	ID      string            `json:"id"` // unique per writer incarnation
+	ID      string            `json:"id"`
+	Seq     uint64            `json:"seq,omitempty"` // rises per writer; a batch at or below the last folded one is ignored. Zero: not checked
 	Writer  model.Incarnation `json:"writer"`
 	Entries []Entry           `json:"entries"`
 }
@@ -69,10 +70,16 @@
 
 // Progress records finished tasks of a job, in groups.
 type Progress struct {
-	Epoch  uint64      `json:"epoch"`
-	Job    model.JobID `json:"job"`
-	Done   []int       `json:"done,omitempty"` // task indexes
-	Failed []int       `json:"failed,omitempty"`
+	Epoch  uint64       `json:"epoch"`
+	Job    model.JobID  `json:"job"`
+	Done   []TaskResult `json:"done,omitempty"`
+	Failed []TaskResult `json:"failed,omitempty"`
+}
+
+// TaskResult is the end of one task of a job.
+type TaskResult struct {
+	Index  int    `json:"index"`
+	Result []byte `json:"result,omitempty"` // or the message of a failure
 }
 
 // Finish records the end of a job.
@@ -99,18 +106,22 @@
 	Task        model.TaskID     `json:"task"`
 	Attempt     int              `json:"attempt"`
 	Worker      model.WorkerName `json:"worker"`
-	Boot        string           `json:"boot"`           // the worker's boot id when the intent was made
-	NotAfter    model.WorkerTime `json:"not_after"`      // on the worker's clock; a later start is refused
+	Boot        string           `json:"boot"`      // the worker's boot id when the intent was made
+	NotAfter    model.WorkerTime `json:"not_after"` // on the worker's clock; a later start is refused
+	Resources   model.Resources  `json:"resources"`
 	Late        bool             `json:"late,omitempty"` // held by electors while the log was out, then appended
 }
 
 // Outcome records what became of an intent.
 type Outcome struct {
-	Epoch   uint64       `json:"epoch"`
-	Service string       `json:"service"`
-	Key     model.Key    `json:"key"`
-	Attempt int          `json:"attempt"`
-	Answer  model.Answer `json:"answer"`
+	Epoch       uint64           `json:"epoch"`
+	Service     string           `json:"service"`
+	Key         model.Key        `json:"key"`
+	RequestHash uint64           `json:"request_hash"`
+	Attempt     int              `json:"attempt"`
+	Answer      model.Answer     `json:"answer"`
+	Worker      model.WorkerName `json:"worker,omitempty"` // that keeps the result until this record is read back
+	Task        model.TaskID     `json:"task,omitempty"`
 }
 
 // Snapshot carries still needed state of a data centre's stream forward, so
