--- a/internal/servicetext/servicetext.go
+++ b/internal/servicetext/servicetext.go
@@ -34,8 +34,8 @@
 	MaxBodyBytes = 1 << 20
 	// MaxInteractiveDeadline is the longest that a caller can wait.
 	MaxInteractiveDeadline = 5 * time.Minute
-	// MaxJobTime bounds deadlines and run times of jobs. Nothing that an
-	// instance remembers outlives a week.
+	// MaxJobTime bounds deadlines and run times of jobs. Work that takes longer
+	// is a service.
 	MaxJobTime = 7 * 24 * time.Hour
 	// MinWindow and MaxWindow bound the compliance window of a service level:
 	// the slow burn-rate window is six hours, and a quarter is the longest
