--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -3,6 +3,13 @@
 // spends exactly the budget within the compliance window.
 package burn
 
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+)
+
 // Report is the burn of every service with a declared service level.
 type Report struct {
 	Services []ServiceReport `json:"services"`
@@ -38,3 +45,25 @@
 	Rate       float64 `json:"rate"`        // burn rate
 	BudgetLeft float64 `json:"budget_left"` // fraction of the error budget; negative when overspent
 }
+
+// WriteText writes the report for a terminal, one line a window.
+func (r Report) WriteText(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tOBJECTIVE\tWINDOW\tBURN\tSHORT\tALERT AT\tSTATE")
+	for _, s := range r.Services {
+		objective := strconv.FormatFloat(s.Objective*100, 'g', 6, 64) + "%"
+		if s.Latency != "" {
+			objective += " within " + s.Latency
+		}
+		for _, a := range s.Alerts {
+			state := "ok"
+			if a.Firing {
+				state = "FIRING"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s/%s\t%.2f\t%.2f\t%.2f\t%s\n", s.Service, objective, a.Long, a.Short, a.LongRate, a.ShortRate, a.Threshold, state)
+		}
+		c := s.Compliance
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t-\t-\t%d good, %d bad, %.1f%% of the budget left\n", s.Service, objective, c.Window, c.Rate, c.Good, c.Bad, c.BudgetLeft*100)
+	}
+	return w.Flush()
+}
