Commands for operators and callers

The exit code says what became of the work: not run and unknown differ from failed, so that a script knows when it may submit again. Wrong flags are usage errors of one line. A publish that is in doubt prints its id, with which it can be repeated.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,29 +9,52 @@
 	"github.com/urfave/cli/v3"
 )
 
-// Exit codes of the program.
-const (
-	ExitOK    = 0
-	ExitError = 1 // the command ran and failed
-	ExitUsage = 2 // wrong flags or arguments
-)
-
 // Run runs the program with the given arguments and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	app := &cli.Command{
 		Name:      "gentianpick",
-		Usage:     "cluster scheduler for unlike workloads",
+		Usage:     "cluster scheduler for mixed workloads",
 		Writer:    stdout,
 		ErrWriter: stderr,
+		// Run maps errors to exit codes itself; the default handler exits.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action:         group,
 		Commands: []*cli.Command{
 			standinCommand(),
 			serveCommand(),
 			replayCommand(),
+			validateCommand(),
+			publishCommand(),
+			submitCommand(),
+			jobCommand(),
+			statusCommand(),
+			burnCommand(),
+			versionCommand(),
 		},
 	}
-	if err := app.Run(ctx, args); err != nil {
+	reportUsageErrors(app)
+	err := app.Run(ctx, args)
+	if err != nil {
 		fmt.Fprintln(stderr, "gentianpick:", err)
-		return ExitError
 	}
-	return ExitOK
+	return exitCode(err)
+}
+
+// group is the action of a command that only has subcommands.
+func group(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return &UsageError{Reason: fmt.Sprintf("%s has no command %q", cmd.FullName(), cmd.Args().First())}
+	}
+	return cli.ShowSubcommandHelp(cmd)
+}
+
+// reportUsageErrors lets a command and its subcommands return wrong flags as
+// usage errors instead of printing the whole help.
+func reportUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &UsageError{Reason: err.Error()}
+	}
+	for _, sub := range cmd.Commands {
+		reportUsageErrors(sub)
+	}
 }
--- /dev/null
+++ b/internal/cli/common.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/client"
+)
+
+const (
+	defaultServer = "http://" + defaultHTTP
+	serverEnv     = "GENTIANPICK_SERVER"
+	// defaultTimeout bounds operators' commands. A publish has to be in force
+	// everywhere within 7 s, so that a longer silence is a failure.
+	defaultTimeout = 30 * time.Second
+)
+
+// Values of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "`FORMAT` of the output: text or json", Value: outputText,
+		Validator: func(s string) error {
+			if s != outputText && s != outputJSON {
+				return &FlagError{Flag: "output", Value: s, Want: "text or json"}
+			}
+			return nil
+		}}
+}
+
+// clientFlags returns the flags that commands with a server share.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "server", Usage: "base `URL` of an instance or its balancer", Value: defaultServer, Sources: cli.EnvVars(serverEnv)},
+		&cli.DurationFlag{Name: "timeout", Usage: "how long to wait for the server", Value: defaultTimeout},
+		outputFlag(),
+	}, more...)
+}
+
+func dial(cmd *cli.Command) (*client.Client, error) { return client.New(cmd.String("server")) }
+
+// oneArgument returns the only argument of a command.
+func oneArgument(cmd *cli.Command, name string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", &UsageError{Reason: fmt.Sprintf("%s needs exactly one %s", cmd.FullName(), name)}
+	}
+	return cmd.Args().First(), nil
+}
+
+func noArguments(cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return &UsageError{Reason: fmt.Sprintf("%s has no arguments, got %q", cmd.FullName(), cmd.Args().First())}
+	}
+	return nil
+}
+
+// readInput reads a file, or the standard input for "-".
+func readInput(cmd *cli.Command, name string) ([]byte, error) {
+	if name == "-" {
+		data, err := io.ReadAll(cmd.Root().Reader)
+		if err != nil {
+			return nil, &FileError{Cause: err}
+		}
+		return data, nil
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &FileError{Cause: err}
+	}
+	return data, nil
+}
+
+// show prints v as JSON, or as the text that the given function writes.
+func show(cmd *cli.Command, v any, text func(w io.Writer)) error {
+	w := cmd.Root().Writer
+	if cmd.String("output") == outputText {
+		text(w)
+		return nil
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	if err := e.Encode(v); err != nil {
+		return &FileError{Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/publish.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/client"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/servicetext"
+	"github.com/gentianpick/gentianpick/internal/wire"
+)
+
+func publishCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "publish",
+		Usage:     "publish a service text",
+		ArgsUsage: "FILE",
+		Flags: clientFlags(
+			&cli.Uint64Flag{Name: "base", Usage: "version that the text replaces; default: the one in force"},
+			&cli.StringFlag{Name: "id", Usage: "publish `ID`; repeat an id to learn the outcome of a publish in doubt"},
+		),
+		Action: runPublish,
+	}
+}
+
+func runPublish(ctx context.Context, cmd *cli.Command) error {
+	file, err := oneArgument(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	if cmd.IsSet("id") && !cmd.IsSet("base") {
+		return &UsageError{Reason: "--id repeats an earlier publish and needs its --base"}
+	}
+	text, err := readInput(cmd, file)
+	if err != nil {
+		return err
+	}
+	if _, err := servicetext.Parse(text); err != nil {
+		return report(cmd, validation{File: file, Kind: kindText}, err)
+	}
+	c, err := dial(cmd)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+	base := cmd.Uint64("base")
+	if !cmd.IsSet("base") {
+		if base, err = versionInForce(ctx, c); err != nil {
+			return err
+		}
+	}
+	id := cmd.String("id")
+	if id == "" {
+		id = uuid.NewString()
+	}
+	p, err := c.Publish(ctx, base, id, text)
+	if err != nil {
+		fmt.Fprintf(cmd.Root().ErrWriter, "publish id %s, base %d\n", id, base)
+		return err
+	}
+	return showPublished(cmd, p)
+}
+
+// versionInForce returns the version that a new text replaces: 0 if the server
+// knows no text. If it only does not know it yet, the publish is refused.
+func versionInForce(ctx context.Context, c *client.Client) (uint64, error) {
+	t, err := c.Text(ctx)
+	var refused *client.RefusedError
+	if errors.As(err, &refused) && refused.Reason == model.CodeNotReady {
+		return 0, nil
+	}
+	return t.Version, err
+}
+
+func showPublished(cmd *cli.Command, p wire.Published) error {
+	err := show(cmd, p, func(w io.Writer) {
+		for _, e := range p.Errors {
+			fmt.Fprintf(w, "line %d: %s: %s [%s]\n", e.Line, e.Path, e.Message, e.Code)
+		}
+		if p.Accepted {
+			fmt.Fprintf(w, "accepted, version in force: %d\n", p.Version)
+		} else {
+			fmt.Fprintf(w, "not published, version in force: %d\n", p.Version)
+		}
+	})
+	if err != nil || p.Accepted {
+		return err
+	}
+	return outcomeError(model.OutcomeNotRun, p.Code, p.Message)
+}
--- /dev/null
+++ b/internal/cli/submit.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/client"
+	"github.com/gentianpick/gentianpick/internal/jsonc"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/wire"
+)
+
+const (
+	// maxRequestWait is the longest deadline of an interactive request.
+	maxRequestWait = 5 * time.Minute
+	// answerSlack is what an answer may take beyond the deadline until the
+	// server gives up on it, and some time on the way.
+	answerSlack = 35 * time.Second
+	// pollWait is how long the server holds one query of a job. It is below the
+	// usual 60 s after which balancers cut a silent request.
+	pollWait = 20 * time.Second
+	// maxResources bounds the bytes of --resources.
+	maxResources = 1024
+)
+
+func submitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "submit work and wait for its outcome",
+		ArgsUsage: "SERVICE",
+		Flags: clientFlags(
+			&cli.StringFlag{Name: "operation", Usage: "`NAME` under which run times are observed"},
+			&cli.StringFlag{Name: "key", Usage: "idempotency `KEY`; required for non-idempotent services"},
+			&cli.StringFlag{Name: "body", Usage: "`TEXT` of the request"},
+			&cli.StringFlag{Name: "body-file", Usage: "`FILE` with the request, - for standard input"},
+			&cli.IntFlag{Name: "tasks", Usage: "tasks of a batch or gang job"},
+			&cli.StringFlag{Name: "resources", Usage: "`JSON` demand of one task, in place of the service's"},
+			&cli.DurationFlag{Name: "deadline", Usage: "from receipt; default: the service's"},
+			&cli.BoolFlag{Name: "poll", Usage: "submit a job and poll it until it ends, or --timeout"},
+			&cli.BoolFlag{Name: "detach", Usage: "submit a job and print its id"},
+		),
+		Action: runSubmit,
+	}
+}
+
+func runSubmit(ctx context.Context, cmd *cli.Command) error {
+	submit, err := submission(cmd)
+	if err != nil {
+		return err
+	}
+	c, err := dial(cmd)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	a, err := send(ctx, cmd, c, submit)
+	if err != nil {
+		return err
+	}
+	return showAnswer(cmd, a)
+}
+
+// send submits the work in the way that the flags ask for.
+func send(ctx context.Context, cmd *cli.Command, c *client.Client, submit wire.Submit) (wire.Answer, error) {
+	if cmd.Bool("poll") || cmd.Bool("detach") {
+		ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+		defer cancel()
+		a, err := c.Submit(ctx, submit)
+		if err != nil || cmd.Bool("detach") || a.Job == "" || a.Outcome.Final() {
+			return a, err
+		}
+		fmt.Fprintln(cmd.Root().ErrWriter, "job", a.Job)
+		return poll(ctx, c, a.Job)
+	}
+	wait := cmd.Duration("deadline")
+	if wait <= 0 {
+		wait = maxRequestWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	return c.Request(ctx, submit)
+}
+
+// poll waits for the end of a job. A job that has not ended when the time is
+// up is answered with its last known state.
+func poll(ctx context.Context, c *client.Client, id model.JobID) (wire.Answer, error) {
+	a, err := c.Poll(ctx, id, pollWait)
+	if err != nil && ctx.Err() != nil {
+		return a, nil
+	}
+	return a, err
+}
+
+// submission builds the request from the arguments.
+func submission(cmd *cli.Command) (wire.Submit, error) {
+	service, err := oneArgument(cmd, "SERVICE")
+	if err != nil {
+		return wire.Submit{}, err
+	}
+	if cmd.Bool("poll") && cmd.Bool("detach") {
+		return wire.Submit{}, &UsageError{Reason: "give either --poll or --detach"}
+	}
+	s := model.Submission{
+		Service: service, Operation: cmd.String("operation"), Key: model.Key(cmd.String("key")),
+		Body: []byte(cmd.String("body")), Tasks: cmd.Int("tasks"), Deadline: cmd.Duration("deadline"),
+	}
+	if name := cmd.String("body-file"); name != "" {
+		if cmd.IsSet("body") {
+			return wire.Submit{}, &UsageError{Reason: "give either --body or --body-file"}
+		}
+		if s.Body, err = readInput(cmd, name); err != nil {
+			return wire.Submit{}, err
+		}
+	}
+	if text := cmd.String("resources"); text != "" {
+		s.Resources = &model.Resources{}
+		if err := jsonc.Decode([]byte(text), maxResources, s.Resources).Err(); err != nil {
+			return wire.Submit{}, &UsageError{Reason: "--resources: " + err.Error()}
+		}
+	}
+	submit := wire.NewSubmit(s)
+	if _, err := submit.Submission(); err != nil {
+		return wire.Submit{}, &UsageError{Reason: err.Error()}
+	}
+	return submit, nil
+}
+
+// showAnswer prints an answer and returns an *OutcomeError unless it is a
+// success.
+func showAnswer(cmd *cli.Command, a wire.Answer) error {
+	err := show(cmd, a, func(w io.Writer) {
+		line := func(name, value string) {
+			if value != "" {
+				fmt.Fprintf(w, "%-9s %s\n", name, value)
+			}
+		}
+		line("job", string(a.Job))
+		line("outcome", string(a.Outcome))
+		line("code", string(a.Code))
+		line("message", a.Message)
+		if t := a.Tasks; t != nil {
+			line("tasks", fmt.Sprintf("%d: %d waiting, %d running, %d done, %d failed", t.Total, t.Waiting, t.Running, t.Done, t.Failed))
+		}
+		line("forecast", a.Forecast)
+		if a.ResultText == "" && len(a.Result) > 0 {
+			line("result", fmt.Sprintf("%d bytes that are no text; see --output json or job result", len(a.Result)))
+		}
+		line("result", a.ResultText)
+	})
+	if err != nil {
+		return err
+	}
+	return outcomeError(a.Outcome, a.Code, a.Message)
+}
--- /dev/null
+++ b/internal/cli/validate.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/jsonc"
+	"github.com/gentianpick/gentianpick/internal/servicetext"
+	"github.com/gentianpick/gentianpick/internal/settings"
+	"github.com/gentianpick/gentianpick/internal/wire"
+)
+
+// Values of --kind.
+const (
+	kindAuto     = "auto"
+	kindText     = "text"
+	kindSettings = "settings"
+)
+
+// validation is the output of validate.
+type validation struct {
+	File   string        `json:"file"`
+	Kind   string        `json:"kind"`
+	Valid  bool          `json:"valid"`
+	Hash   string        `json:"hash,omitempty"` // of a valid service text
+	Errors []jsonc.Error `json:"errors,omitempty"`
+}
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check a service text or settings file",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "kind", Usage: "text, settings, or auto: settings have a platform, texts have services", Value: kindAuto},
+			outputFlag(),
+		},
+		Action: runValidate,
+	}
+}
+
+func runValidate(_ context.Context, cmd *cli.Command) error {
+	file, err := oneArgument(cmd, "FILE")
+	if err != nil {
+		return err
+	}
+	data, err := readInput(cmd, file)
+	if err != nil {
+		return err
+	}
+	v := validation{File: file, Kind: cmd.String("kind")}
+	if v.Kind == kindAuto {
+		v.Kind = guessKind(data)
+	}
+	switch v.Kind {
+	case kindText:
+		if _, err = servicetext.Parse(data); err == nil {
+			v.Hash = wire.FormatHash(servicetext.Hash(data))
+		}
+	case kindSettings:
+		_, err = settings.Parse(data)
+	default:
+		return &FlagError{Flag: "kind", Value: v.Kind, Want: "text, settings or auto"}
+	}
+	return report(cmd, v, err)
+}
+
+// report prints a validation and returns an *InvalidError if there are errors.
+func report(cmd *cli.Command, v validation, err error) error {
+	var errs *jsonc.Errors
+	if errors.As(err, &errs) {
+		v.Errors = errs.List
+	} else if err != nil {
+		return err
+	}
+	v.Valid = err == nil
+	shown := show(cmd, v, func(w io.Writer) {
+		for _, e := range v.Errors {
+			fmt.Fprintf(w, "%s:%d: %s: %s [%s]\n", v.File, e.Line, e.Path, e.Message, e.Code)
+		}
+		if v.Valid {
+			fmt.Fprintf(w, "%s: valid %s\n", v.File, v.Kind)
+		}
+	})
+	if shown == nil && !v.Valid {
+		return &InvalidError{File: v.File, Count: len(v.Errors)}
+	}
+	return shown
+}
+
+// guessKind tells settings from a text by a field that only settings have.
+func guessKind(data []byte) string {
+	if bytes.Contains(data, []byte(`"peer_listen"`)) || bytes.Contains(data, []byte(`"platform":`)) {
+		return kindSettings
+	}
+	return kindText
+}
