Unguarded workers: clear them by a late full report, bound every start by SendBy

Cause: today's workers have no guards, so the epoch and not-after checks at the worker can't be relied on; a start of a paused owner could have met a successor's placement. Change: a report says whether its worker is guarded; an unguarded one is placed on only after a full report that was asked for when no start of the former owner can arrive any more, the driver sends no start past the owner's evidence, and a start in doubt there is never called not run.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -60,9 +60,10 @@
 		ConsentAfter: 2 * time.Second,
 		// WatchWait bounds idle traffic to one call per worker and interval,
 		// and stays well below TaskLease, so that two lost calls stop no task.
-		WatchWait:  3 * time.Second,
-		TaskLease:  12 * time.Second,
-		StartGrace: time.Second,
+		WatchWait: 3 * time.Second,
+		TaskLease: 12 * time.Second,
+		// StartGrace is added to a takeover's wait for workers without guards.
+		StartGrace: 500 * time.Millisecond,
 		// GroupCommit bounds a data centre to 20 appends a second, so that 18 of
 		// them stay within the several hundred that the log takes.
 		GroupCommit: 50 * time.Millisecond,
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -55,8 +55,11 @@
 	Request worker.WatchRequest `json:"request"`
 }
 
-// Start makes one start call to a worker. Its result is a Started event.
+// Start makes one start call to a worker. Its result is a Started event. After
+// SendBy the driver sends nothing and reports the call as not sent: the process
+// may have been paused and the lease taken over meanwhile.
 type Start struct {
+	SendBy  model.Time          `json:"send_by"`
 	Worker  model.WorkerName    `json:"worker"`
 	Address string              `json:"address"`
 	Request worker.StartRequest `json:"request"`
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -27,6 +27,7 @@
 	delayed  []*task // idempotent tasks that wait for their backoff
 	doubts   int     // keyed starts with an unknown outcome
 
+	actingSince model.Time // first time past the wait; zero: not yet
 	settled     bool
 	electors    []model.Member // of the epoch before
 	consulted   map[model.Incarnation]bool
@@ -150,6 +151,7 @@
 	if !c.acting() {
 		return
 	}
+	c.clearWorkers()
 	if !o.settled && c.now >= o.nextConsult {
 		c.consult()
 	}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -241,7 +241,7 @@
 		t.notAfter = c.notAfter(w)
 	}
 	c.count("task_starts", string(t.j.svc.Class), 1)
-	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, Request: worker.StartRequest{
+	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: c.lease.ActUntil(c.now), Request: worker.StartRequest{
 		Epoch: c.own.epoch, Boot: t.boot, NotAfter: t.notAfter, Lease: c.cfg.Timing.TaskLease,
 		Spec: t.spec(), Body: t.j.sub.Body, Resume: t.resume,
 	}}})
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -211,13 +211,21 @@
 		c.taskReported(t, r.Status)
 	case t.boot != "" && r.Boot != t.boot:
 		c.lost(t, "the worker restarted")
-	case r.Clock > t.notAfter:
+	case c.guarded(t.worker) && r.Clock > t.notAfter:
 		// The worker refuses the start from now on, so it never runs.
 		c.count("doubts_not_run", "", 1)
 		c.neverRan(t)
+	case r.Clock > t.notAfter+model.WorkerTime(c.cfg.Timing.TaskLease):
+		// An unguarded worker might still run it, however unlikely.
+		c.lost(t, "the worker does not know the task")
 	}
 }
 
+func (c *Core) guarded(name model.WorkerName) bool {
+	w := c.own.workers[name]
+	return w != nil && w.guarded
+}
+
 // neverRan handles a start that certainly did not and will not run.
 func (c *Core) neverRan(t *task) {
 	if t.j.adopted {
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -27,6 +27,9 @@
 	watching bool
 	nextTry  model.Time
 	capacity model.Resources
+	guarded  bool // refuses stale epochs and late starts by itself
+	clearing bool // a watch for that report was sent
+	cleared  bool // no start of a former owner can arrive any more
 }
 
 // watchRetry is the delay before a worker that didn't answer is asked again.
@@ -151,10 +154,40 @@
 		return
 	}
 	c.own.cache.SetFlags(w.name, placement.Flags{
-		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reach,
+		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reach || !w.cleared,
 	})
 }
 
+// clearedBy reports whether a full report shows everything that former owners
+// have started. A guarded worker refuses their starts since it saw the new
+// epoch. For another one the report must have been asked for after the last
+// start of a former owner can have arrived: an owner sends none once its
+// evidence has run out, and gives up on each after the start grace.
+func (c *Core) clearedBy(sentAt model.Time, r *model.Report) bool {
+	if r.Guarded || c.own.epoch == 1 {
+		return true
+	}
+	return c.own.actingSince != 0 && sentAt >= c.own.actingSince.Add(c.cfg.Timing.StartGrace)
+}
+
+// clearWorkers asks unguarded workers for a full report once it counts.
+func (c *Core) clearWorkers() {
+	if c.own.actingSince == 0 {
+		c.own.actingSince = c.now
+	}
+	if c.now < c.own.actingSince.Add(c.cfg.Timing.StartGrace) {
+		return
+	}
+	for _, name := range sortedKeys(c.own.workers) {
+		w := c.own.workers[name]
+		if w.reported && !w.cleared && w.reach && !w.clearing {
+			w.clearing = true
+			w.seq = 0
+			c.watch(w)
+		}
+	}
+}
+
 // onWatched handles the answer to a watch call.
 func (c *Core) onWatched(ev *Watched) {
 	if c.own == nil {
@@ -184,6 +217,7 @@
 func (c *Core) watchFailed(w *workerState) {
 	c.count("watch_failures", "", 1)
 	w.nextTry = c.now.Add(c.jitter(watchRetry, 0.8, 1.2))
+	w.clearing = false
 	if w.reach {
 		w.reach = false
 		c.change("worker", string(w.name), "reachable", "silent")
@@ -210,8 +244,12 @@
 	w.capacity = r.Capacity
 	first := !w.reported
 	w.reported = w.reported || r.Full
+	w.guarded = r.Guarded
+	if r.Full && !w.cleared {
+		w.cleared = c.clearedBy(ev.SentAt, r)
+	}
 	c.own.cache.SetWorker(w.name, w.rack, r.Capacity, placement.Flags{
-		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reported,
+		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.cleared,
 	})
 	if first {
 		c.promiseAdopted(w)
@@ -247,7 +285,7 @@
 			c.lost(t, "the worker restarted")
 		}
 	}
-	w.reported, w.seq = false, 0
+	w.reported, w.cleared, w.clearing, w.seq = false, false, false, 0
 }
 
 // missingTasks handles tasks that a worker should run and does not know.
@@ -406,7 +444,7 @@
 		return false
 	}
 	for _, w := range c.own.workers {
-		if !w.reported {
+		if !w.cleared {
 			return false
 		}
 	}
--- a/internal/driver/effects.go
+++ b/internal/driver/effects.go
@@ -180,6 +180,11 @@
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Core.Timing.StartGrace)
 	defer cancel()
 	ev := core.Started{Worker: s.Worker, Task: s.Request.Spec.ID}
+	if d.now() > s.SendBy {
+		ev.Delivery = core.DeliveryNotSent
+		d.result(core.Event{Started: &ev})
+		return
+	}
 	result, err := d.cfg.Worker(s.Address).Start(ctx, s.Request)
 	ev.Delivery = workerDelivery(err)
 	if err == nil {
--- a/internal/model/work.go
+++ b/internal/model/work.go
@@ -95,17 +95,20 @@
 
 // Report is a worker's answer to a watch call.
 type Report struct {
-	Worker   WorkerName   `json:"worker"`
-	Boot     string       `json:"boot"`  // changes when the worker restarts and forgets its tasks
-	Epoch    uint64       `json:"epoch"` // highest epoch the worker has seen
-	Clock    WorkerTime   `json:"clock"`
-	Rack     string       `json:"rack"`
-	Capacity Resources    `json:"capacity"`
-	Usage    Resources    `json:"usage"` // observed, lagging
-	Leaving  bool         `json:"leaving,omitempty"`
-	Seq      uint64       `json:"seq"`             // pass as After in the next watch
-	Full     bool         `json:"full,omitempty"`  // Tasks holds every task the worker knows
-	Tasks    []TaskStatus `json:"tasks,omitempty"` // changed since After, or all if Full
+	Worker   WorkerName `json:"worker"`
+	Boot     string     `json:"boot"`  // changes when the worker restarts and forgets its tasks
+	Epoch    uint64     `json:"epoch"` // highest epoch the worker has seen
+	Clock    WorkerTime `json:"clock"`
+	Rack     string     `json:"rack"`
+	Capacity Resources  `json:"capacity"`
+	Usage    Resources  `json:"usage"` // observed, lagging
+	Leaving  bool       `json:"leaving,omitempty"`
+	// Guarded says that the worker itself refuses stale epochs, late starts and
+	// starts above its capacity. One that does not relies on the owner alone.
+	Guarded bool         `json:"guarded,omitempty"`
+	Seq     uint64       `json:"seq"`             // pass as After in the next watch
+	Full    bool         `json:"full,omitempty"`  // Tasks holds every task the worker knows
+	Tasks   []TaskStatus `json:"tasks,omitempty"` // changed since After, or all if Full
 }
 
 // VMKind tells an instance's VM from a worker.
--- a/internal/ownership/evidence.go
+++ b/internal/ownership/evidence.go
@@ -18,6 +18,14 @@
 	return s.recent(now, max(s.lastTail, s.vouchedAt(now)))
 }
 
+// ActUntil returns the time until which the present evidence permits to act.
+func (s *State) ActUntil(now model.Time) model.Time {
+	if !s.MayAct(now) {
+		return now
+	}
+	return max(s.lastTail, s.vouchedAt(now)).Add(s.cfg.Lease)
+}
+
 // recent reports whether t is less than the lease ago.
 func (s *State) recent(now, t model.Time) bool { return t != none && now.Sub(t) < s.cfg.Lease }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -34,7 +34,10 @@
 	Capacity model.Resources
 	UsageLag time.Duration
 	Seed     uint64
-	Ledger   *Ledger // shared by several workers; nil: its own
+	// Unguarded makes the worker accept every start: whatever its epoch and
+	// not-after time, and above its capacity.
+	Unguarded bool
+	Ledger    *Ledger // shared by several workers; nil: its own
 }
 
 // Worker runs tasks under leases. It is safe for concurrent use.
@@ -139,7 +142,7 @@
 func (w *Worker) report(now time.Duration, req worker.WatchRequest) model.Report {
 	r := model.Report{
 		Worker: w.cfg.Name, Boot: w.boot, Epoch: w.epoch, Clock: w.time(now), Rack: w.cfg.Rack,
-		Capacity: w.cfg.Capacity, Leaving: w.leaving, Seq: w.seq,
+		Capacity: w.cfg.Capacity, Leaving: w.leaving, Seq: w.seq, Guarded: !w.cfg.Unguarded,
 		Full: req.After == 0 || req.Boot != w.boot || req.After > w.seq,
 	}
 	var tasks []*task
@@ -185,6 +188,9 @@
 // refuse returns why a start is refused, or CodeNone. The boot is checked
 // before the clock, because not-after belongs to the clock of one boot.
 func (w *Worker) refuse(req worker.StartRequest, at model.WorkerTime) model.Code {
+	if w.cfg.Unguarded {
+		return model.CodeNone
+	}
 	switch {
 	case w.fence(req.Epoch) != nil:
 		return model.CodeStaleEpoch
@@ -297,6 +303,9 @@
 }
 
 func (w *Worker) fence(epoch uint64) error {
+	if w.cfg.Unguarded {
+		return nil
+	}
 	if epoch < w.epoch {
 		return &worker.StaleEpochError{Epoch: w.epoch}
 	}
