--- a/internal/servicetext/servicetext.go
+++ b/internal/servicetext/servicetext.go
@@ -34,8 +34,8 @@
 	MaxBodyBytes = 1 << 20
 	// MaxInteractiveDeadline is the longest that a caller can wait.
 	MaxInteractiveDeadline = 5 * time.Minute
-	// MaxJobTime bounds deadlines and run times of jobs. Nothing that an
-	// instance remembers outlives a week.
+	// MaxJobTime bounds deadlines and run times of jobs. Work that takes longer
+	// is a service.
 	MaxJobTime = 7 * 24 * time.Hour
 	// MinWindow and MaxWindow bound the compliance window of a service level:
 	// the slow burn-rate window is six hours, and a quarter is the longest
@@ -51,6 +51,10 @@
 // id starts with a data centre's name and a slash, so names hold no slash.
 var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+// ValidName reports whether a string may name a service, team, data centre or
+// VM.
+func ValidName(s string) bool { return nameForm.MatchString(s) }
+
 // The wire types are the published format. They are apart from the model, so
 // that a change of the model can't change what operators write.
 type wireText struct {
