Rank workers by what is left of all components

Cause: best fit on the dominant component packed worse than first fit. It fills one component of a worker and strands the others.

Change: rank by the mean of the parts left of processors, memory and, at half weight, slots. Reciprocals per worker shape replace the divisions.

--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -35,6 +35,7 @@
 type shape struct {
 	capacity model.Resources
 	workers  int
+	weights  model.Resources // reciprocals of capacity, see weigh
 }
 
 // worker is one worker. Its pos is -1 while it is known only by its tasks.
@@ -179,6 +180,7 @@
 		unused = len(c.shapes) - 1
 	}
 	c.shapes[unused].capacity = capacity
+	c.shapes[unused].weigh()
 	return int32(unused)
 }
 
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -11,7 +11,7 @@
 // Among the workers that fit, it prefers in this order: one that r does not
 // avoid; one without accelerators if r needs none; for class service, the rack
 // and then the worker with the fewest tasks of the service; the one that has
-// the least left of r's dominant component; the first by name.
+// the least left, see rank; the first by name.
 func (c *Cache) Place(r Request) (model.WorkerName, Denial) {
 	at, d := c.place(r)
 	if d != DenialNone {
@@ -80,14 +80,13 @@
 
 // scan returns the row with the lowest rank that fits need, or -1.
 func (c *Cache) scan(need model.Resources, racks []uint64) int {
-	ranks := c.ranksOf(need)
 	best, at := uint64(math.MaxUint64), -1
 	for i := range c.rows {
 		r := &c.rows[i]
 		if r.blocked || !need.Fits(r.free) {
 			continue
 		}
-		rank := ranks[r.shape].rank(need, r.free) | c.penalty[i]
+		rank := c.shapes[r.shape].rank(need, r.free) | c.penalty[i]
 		if racks != nil {
 			rank |= racks[r.rack]
 		}
@@ -98,33 +97,34 @@
 	return at
 }
 
-// ranking holds what the rank on one worker shape needs: the dominant component
-// of the demand, the capacity there, and the accelerator penalty.
-type ranking struct {
-	component   component
-	capacity    int64
-	accelerator uint64
+// rank returns how much of a worker of this shape is left after the task: the
+// mean of the parts left of processors, memory and, at half weight, slots; for
+// tasks with accelerators the mean of that and the part left of these. It is an
+// integer, so that every machine computes the same choice. A mean packs better
+// than the dominant component alone, which fills one component and strands the
+// others. Slots count less, since a free slot strands nothing else.
+func (s *shape) rank(need, free model.Resources) uint64 {
+	left := s.part(s.weights.MilliCPU, free.MilliCPU-need.MilliCPU)*2 +
+		s.part(s.weights.MemoryMB, free.MemoryMB-need.MemoryMB)*2 +
+		s.part(s.weights.Slots, free.Slots-need.Slots)
+	left /= 5
+	if need.Accelerators > 0 {
+		left = left/2 + s.part(s.weights.Accelerators, free.Accelerators-need.Accelerators)/2
+	} else if s.capacity.Accelerators > 0 {
+		return left>>(weightBits-remainderBits) | 1<<acceleratorBit
+	}
+	return left >> (weightBits - remainderBits)
 }
 
-// ranksOf returns the ranking of need for each worker shape.
-func (c *Cache) ranksOf(need model.Resources) []ranking {
-	out := make([]ranking, len(c.shapes))
-	for i := range c.shapes {
-		k := c.shapes[i].capacity
-		d := dominant(need, k)
-		out[i] = ranking{component: d, capacity: max(d.of(k), 1)}
-		if k.Accelerators > 0 && need.Accelerators == 0 {
-			out[i].accelerator = 1 << acceleratorBit
-		}
-	}
-	return out
-}
+// part returns the part that left is of the capacity behind weight, in
+// 2^-weightBits.
+func (s *shape) part(weight, left int64) uint64 { return uint64(left * weight) }
 
-// rank returns the fraction of the dominant component that is left after the
-// task, as an integer, so that every machine computes the same choice.
-func (k *ranking) rank(need, free model.Resources) uint64 {
-	left := k.component.of(free) - k.component.of(need)
-	return uint64(left)*(1<<remainderBits-1)/uint64(k.capacity) | k.accelerator
+// weigh computes the weights of a shape. They replace a division per worker.
+func (s *shape) weigh() {
+	w := func(capacity int64) int64 { return (1<<weightBits - 1) / max(capacity, 1) }
+	k := s.capacity
+	s.weights = model.Resources{MilliCPU: w(k.MilliCPU), MemoryMB: w(k.MemoryMB), Accelerators: w(k.Accelerators), Slots: w(k.Slots)}
 }
 
 // component names one kind of capacity.
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -50,6 +50,7 @@
 // the remaining fraction, the spread over workers, the spread over racks, the
 // accelerator penalty and the avoid penalty.
 const (
+	weightBits       = 40        // resolution of reciprocals; what is left is at most the capacity, so products stay below 2^40
 	remainderBits    = 31        // resolution of the remaining fraction
 	spreadBits       = 15        // more tasks of one service on a worker or rack than fit here rank equal
 	maxSpread        = 1<<15 - 1 // the largest spread count
