--- a/internal/driver/readers.go
+++ b/internal/driver/readers.go
@@ -47,11 +47,17 @@
 	pause.MaxInterval = lastReadPause
 	timeout := wait + grace
 	var from uint64
+	tail := false // the last read reached the tail
 	for ctx.Err() == nil {
 		ev := core.LogRead{Stream: stream, StartedAt: d.now()}
 		call, cancel := context.WithTimeout(ctx, timeout)
-		result, err := d.cfg.Platform.Read(call, stream, from, wait)
+		poll := wait
+		if !tail {
+			poll = 0 // an empty stream is reported as such at once
+		}
+		result, err := d.cfg.Platform.Read(call, stream, from, poll)
 		cancel()
+		tail = err == nil && result.AtTail()
 		if err != nil {
 			ev.Failed = true
 			d.result(core.Event{LogRead: &ev})
