--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -10,28 +10,12 @@
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/driver"
 	"github.com/gentianpick/gentianpick/internal/model"
-	"github.com/gentianpick/gentianpick/internal/servicetext"
 	"github.com/gentianpick/gentianpick/internal/wire"
 )
 
 const (
-	// headerTimeout bounds the header of a request, so that slow clients can't
-	// hold connections.
-	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the body of a request, and writeTimeout the answer.
-	bodyTimeout  = 30 * time.Second
+	// writeTimeout bounds the writing of an answer.
 	writeTimeout = 30 * time.Second
-	// idleTimeout closes unused connections. It is above the usual idle time-out
-	// of balancers, so that the balancer closes first.
-	idleTimeout = 2 * time.Minute
-	// headerBytes bounds a request's header.
-	headerBytes = 64 << 10
-	// bodyLimit bounds a submission. JSON text takes at most six bytes for each
-	// byte of the largest body; the rest is for the other fields.
-	bodyLimit = 6*servicetext.MaxBodyBytes + 64<<10
-	// openLimit bounds the memory of requests in progress. It is below the
-	// reducer's limit of waiting requests, so that the reducer still orders them.
-	openLimit = 16384
 	// waitLimit bounds the wait of a job query.
 	waitLimit = 5 * time.Minute
 	// answerSlack is what an answer may take beyond its deadline until the
@@ -41,6 +25,17 @@
 	retryAfter = "1"
 )
 
+// Limits bounds what callers can make the server hold.
+type Limits struct {
+	MaxOpen        int           // requests in progress; more are answered overloaded
+	MaxHeaderBytes int           // of a request
+	MaxBodyBytes   int64         // of a request or text
+	HeaderTimeout  time.Duration // until a header is read, so that slow clients can't hold connections
+	BodyTimeout    time.Duration // until a body is read
+	IdleTimeout    time.Duration // of a kept connection; above that of balancers, so that they close first
+	MaxDeadline    time.Duration // of an interactive request
+}
+
 // Instance is what the API needs of the instance; *driver.Driver implements it.
 type Instance interface {
 	Submit(ctx context.Context, call core.Call) (model.Answer, error)
@@ -58,11 +53,10 @@
 
 // Config is what a server needs.
 type Config struct {
-	Instance    Instance
-	Burn        Burn            // may be nil
-	Metrics     func(io.Writer) // writes /metrics; may be nil
-	MaxDeadline time.Duration   // of a request; zero: 5 minutes
-	MaxOpen     int             // requests in progress; zero: 16384
+	Instance Instance
+	Burn     Burn            // may be nil
+	Metrics  func(io.Writer) // writes /metrics; may be nil
+	Limits   Limits
 }
 
 // server holds the handlers' dependencies.
@@ -75,18 +69,12 @@
 // only after the instance has drained, since Shutdown waits for requests in
 // progress but refuses new ones.
 func New(cfg Config) *http.Server {
-	if cfg.MaxDeadline == 0 {
-		cfg.MaxDeadline = waitLimit
-	}
-	if cfg.MaxOpen == 0 {
-		cfg.MaxOpen = openLimit
-	}
-	s := &server{cfg: cfg, open: make(chan struct{}, cfg.MaxOpen)}
+	s := &server{cfg: cfg, open: make(chan struct{}, cfg.Limits.MaxOpen)}
 	return &http.Server{
 		Handler:           s.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
+		ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
+		IdleTimeout:       cfg.Limits.IdleTimeout,
+		MaxHeaderBytes:    cfg.Limits.MaxHeaderBytes,
 	}
 }
 
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,10 +52,15 @@
 func (f *fake) Text() *driver.TextInForce                         { return f.text }
 func (f *fake) Ready() (bool, model.Code)                         { return f.err == nil, model.CodeDraining }
 
+var limits = Limits{
+	MaxOpen: 1, MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4096,
+	HeaderTimeout: time.Minute, BodyTimeout: time.Minute, IdleTimeout: time.Minute, MaxDeadline: time.Minute,
+}
+
 // do makes one request and decodes the body into out.
 func do(is *is.I, f *fake, method, target, body string, out any) *http.Response {
 	is.Helper()
-	server := httptest.NewServer(New(Config{Instance: f}).Handler)
+	server := httptest.NewServer(New(Config{Instance: f, Limits: limits}).Handler)
 	defer server.Close()
 	req, err := http.NewRequest(method, server.URL+target, strings.NewReader(body))
 	is.NoErr(err)
@@ -117,7 +123,7 @@
 		{"unknown field", "POST", wire.PathJobs, `{"service":"s","dead_line":"1s"}`, 400, model.CodeBadRequest},
 		{"two values", "POST", wire.PathJobs, `{"service":"s"}{}`, 400, model.CodeBadRequest},
 		{"no service", "POST", wire.PathRequests, `{}`, 400, model.CodeBadRequest},
-		{"too large", "POST", wire.PathRequests, `{"service":"` + strings.Repeat("s", bodyLimit) + `"}`, 413, model.CodeBodyTooLarge},
+		{"too large", "POST", wire.PathRequests, `{"service":"` + strings.Repeat("s", int(limits.MaxBodyBytes)) + `"}`, 413, model.CodeBodyTooLarge},
 		{"bad wait", "GET", wire.PathJobs + "/a%2Fb?wait=x", ``, 400, model.CodeBadRequest},
 		{"no id", "DELETE", wire.PathJobs + "/", ``, 400, model.CodeBadRequest},
 		{"no base", "PUT", wire.PathText, `{}`, 400, model.CodeBadRequest},
@@ -166,7 +172,7 @@
 func TestOpenLimit(t *testing.T) {
 	is := is.New(t)
 	f := &fake{hold: make(chan struct{}), entered: make(chan struct{}), answer: model.Answer{Outcome: model.OutcomeDone}}
-	server := httptest.NewServer(New(Config{Instance: f, MaxOpen: 1}).Handler)
+	server := httptest.NewServer(New(Config{Instance: f, Limits: limits}).Handler)
 	defer server.Close()
 	post := func() int {
 		resp, err := http.Post(server.URL+wire.PathRequests, "application/json", strings.NewReader(`{"service":"s"}`))
--- a/internal/api/operate.go
+++ b/internal/api/operate.go
@@ -35,7 +35,7 @@
 		s.published(w, wire.Published{ID: id, Code: model.CodeBadRequest, Message: "base: is not a version number"})
 		return
 	}
-	text, err := readBody(w, r, servicetext.MaxBytes)
+	text, err := s.readBody(w, r)
 	if err != nil {
 		s.published(w, wire.Published{ID: id, Code: codeOf(err), Message: err.Error()})
 		return
--- a/internal/api/work.go
+++ b/internal/api/work.go
@@ -47,10 +47,10 @@
 
 // readBody reads a whole body. The read deadline is removed afterwards, since
 // the server would take it for a caller who has gone.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func (s *server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = rc.SetReadDeadline(time.Now().Add(s.cfg.Limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.Limits.MaxBodyBytes))
 	_ = rc.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
@@ -64,8 +64,8 @@
 }
 
 // submission reads a submission. The error has a code.
-func submission(w http.ResponseWriter, r *http.Request) (model.Submission, error) {
-	body, err := readBody(w, r, bodyLimit)
+func (s *server) submission(w http.ResponseWriter, r *http.Request) (model.Submission, error) {
+	body, err := s.readBody(w, r)
 	if err != nil {
 		return model.Submission{}, err
 	}
@@ -89,12 +89,12 @@
 
 func (s *server) submit(w http.ResponseWriter, r *http.Request, kind message.ForwardKind) {
 	start := time.Now()
-	sub, err := submission(w, r)
+	sub, err := s.submission(w, r)
 	if err != nil {
 		refuse(w, codeOf(err), err.Error())
 		return
 	}
-	wait := s.cfg.MaxDeadline
+	wait := s.cfg.Limits.MaxDeadline
 	if kind == message.ForwardRequest && sub.Deadline > 0 {
 		wait = min(wait, sub.Deadline)
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianpick/gentianpick/internal/instance"
+	"github.com/gentianpick/gentianpick/internal/settings"
 )
 
 // defaultHTTP is the API's address in standalone mode.
@@ -105,7 +107,19 @@
 	return in.Run(ctx)
 }
 
-// fromSettings returns the configuration that a settings file describes.
+// fromSettings returns the configuration that a settings file describes. Each
+// run is another incarnation.
 func fromSettings(name string) (instance.Config, error) {
-	return instance.Config{}, &UsageError{Reason: fmt.Sprintf("%s: settings are not supported yet", name)}
+	s, err := settings.Load(name)
+	if err != nil {
+		return instance.Config{}, err
+	}
+	return instance.Config{
+		Core:       s.CoreConfig(uuid.NewString(), rand.Uint64()),
+		PeerListen: s.PeerListen,
+		HTTPListen: s.HTTPListen,
+		Platform:   s.Platform,
+		HTTP:       instance.HTTPLimits(s.HTTP),
+		LogLevel:   s.LogLevel,
+	}, nil
 }
--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -12,6 +12,7 @@
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/instance"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/settings"
 	"github.com/gentianpick/gentianpick/internal/standin"
 )
 
@@ -85,6 +86,7 @@
 		},
 		PeerListen: anyPort,
 		HTTPListen: cmd.String("http"),
+		HTTP:       instance.HTTPLimits(settings.DefaultHTTP()),
 		Platform:   "http://" + f.address,
 		Log:        cmd.Root().ErrWriter,
 		Record:     record,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/gentianpick/gentianpick/internal/peer"
 	"github.com/gentianpick/gentianpick/internal/platform"
 	"github.com/gentianpick/gentianpick/internal/servicetext"
+	"github.com/gentianpick/gentianpick/internal/settings"
 	"github.com/gentianpick/gentianpick/internal/telemetry"
 	"github.com/gentianpick/gentianpick/internal/worker"
 )
@@ -39,6 +40,8 @@
 	PeerListen string      // IP:port
 	HTTPListen string      // IP:port
 	Platform   string      // base URL
+	HTTP       api.Limits  // a zero MaxDeadline is replaced by the reducer's
+	LogLevel   string      // empty: info
 	Log        io.Writer   // takes log lines
 	Record     io.Writer   // takes the event file; nil: no recording
 }
@@ -83,7 +86,7 @@
 	if cfg.Core.Self.Address == "" {
 		cfg.Core.Self.Address = peerLn.Addr().String()
 	}
-	in := &Instance{Self: cfg.Core.Self, tel: telemetry.New(cfg.Log), ln: ln}
+	in := &Instance{Self: cfg.Core.Self, tel: telemetry.New(cfg.Log, cfg.LogLevel), ln: ln}
 	in.peers = peer.New(peer.Config{
 		Self: cfg.Core.Self, Listener: peerLn,
 		Handler: func(env message.Envelope) bool { return in.Driver.Message(env) },
@@ -106,12 +109,21 @@
 	}
 	in.tel.Driver(in.Driver)
 	in.tel.Peers(in.peers)
-	in.http = api.New(api.Config{
-		Instance: in.Driver, Metrics: in.tel.Write, MaxDeadline: cfg.Core.Limits.MaxDeadline,
-	})
+	if cfg.HTTP.MaxDeadline == 0 {
+		cfg.HTTP.MaxDeadline = cfg.Core.Limits.MaxDeadline
+	}
+	in.http = api.New(api.Config{Instance: in.Driver, Metrics: in.tel.Write, Limits: cfg.HTTP})
 	return in, nil
 }
 
+// HTTPLimits returns the limits that a settings file gives.
+func HTTPLimits(h settings.HTTP) api.Limits {
+	return api.Limits{
+		MaxOpen: h.MaxConnections, MaxHeaderBytes: h.MaxHeaderBytes, MaxBodyBytes: h.MaxBodyBytes,
+		HeaderTimeout: h.HeaderTimeout, BodyTimeout: h.BodyTimeout, IdleTimeout: h.IdleTimeout,
+	}
+}
+
 // Address returns the IP:port of the HTTP API.
 func (in *Instance) Address() string { return in.ln.Addr().String() }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,8 +73,8 @@
 	IdleTimeout    time.Duration `json:"idle_timeout"`   // of a kept connection
 }
 
-// defaultHTTP returns the limits of a production instance.
-func defaultHTTP() HTTP {
+// DefaultHTTP returns the limits of a production instance.
+func DefaultHTTP() HTTP {
 	return HTTP{
 		// MaxConnections holds a peak of three times 840 requests a second that
 		// each wait for 3 s, spread over the entry VMs of one data centre.
@@ -112,7 +112,7 @@
 // Parse parses and checks settings. The error is an *Errors that lists every
 // error found.
 func Parse(data []byte) (*Settings, error) {
-	s := &Settings{HTTP: defaultHTTP(), LogLevel: "info"}
+	s := &Settings{HTTP: DefaultHTTP(), LogLevel: "info"}
 	d := jsonc.Decode(data, MaxBytes, s)
 	if !d.Broken() {
 		checker{d, s}.check()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -41,11 +41,15 @@
 
 var _ driver.Sink = (*Telemetry)(nil)
 
-// New returns a telemetry that writes log lines as JSON to w.
-func New(w io.Writer) *Telemetry {
+// New returns a telemetry that writes log lines as JSON to w. State changes
+// have level info, which is also the level for an empty string.
+func New(w io.Writer, level string) *Telemetry {
+	if level == "" {
+		level = "info"
+	}
 	return &Telemetry{
 		set:        metrics.NewSet(),
-		log:        log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: w}},
+		log:        log.Logger{Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: w}},
 		labels:     map[string]int{},
 		counters:   map[series]*metrics.Counter{},
 		histograms: map[series]*metrics.Histogram{},
