Search victims without sorting every worker's tasks

Cause: the search sorted and copied the batch tasks of each worker that could make room, although most of them can't beat the best found so far.

Change: look for a single task first, without copies, and only among tasks younger than the best; stop collecting several once they are too many.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -51,6 +51,14 @@
 		for i := range needs {
 			needs[i] = mixed(rng)
 		}
+		full, small := filled(n), model.Resources{MilliCPU: 250}
+		for i := 0; ; i++ {
+			w, d := full.Place(Request{Need: small})
+			if d != DenialNone {
+				break
+			}
+			full.Promise(w, spec(fmt.Sprint("full", i), small), 0)
+		}
 		for i := range gang {
 			gang[i] = Request{Class: model.ClassGang, Need: model.Resources{MilliCPU: 500, MemoryMB: 1000, Slots: 1}}
 		}
@@ -72,6 +80,12 @@
 			{"victims", func(int) {
 				c.Victims(Request{Need: model.Resources{MilliCPU: 31000}}, func(TaskUse) bool { return true })
 			}},
+			{"manyvictims", func(int) {
+				c.Victims(Request{Need: model.Resources{MilliCPU: 4000, Connections: 240}}, func(TaskUse) bool { return true })
+			}},
+			{"onevictim", func(int) {
+				full.Victims(Request{Need: model.Resources{MilliCPU: 2000}}, func(TaskUse) bool { return true })
+			}},
 		} {
 			b.Run(fmt.Sprintf("%s/workers=%d", kind.name, n), func(b *testing.B) {
 				b.ReportAllocs()
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -26,7 +26,11 @@
 		if need.Fits(free) {
 			return e.name, nil, true
 		}
-		found := victimsOn(e, need.Sub(free), allowed)
+		missing := need.Sub(free)
+		found := single(e, missing, best, allowed)
+		if found == nil && len(best) != 1 {
+			found = several(e, missing, len(best), allowed)
+		}
 		if found != nil && (best == nil || better(found, best)) {
 			w, best = e.name, found
 		}
@@ -37,25 +41,45 @@
 	return w, tasks, best != nil
 }
 
-// victimsOn returns tasks of w that hold at least missing, youngest first, or nil.
-func victimsOn(w *worker, missing model.Resources, allowed func(TaskUse) bool) []*task {
+// mayEnd reports whether u is a task that Victims may choose.
+func mayEnd(u *task, allowed func(TaskUse) bool) bool {
+	return u.Class == model.ClassBatch && !u.Doubt && allowed(u.TaskUse)
+}
+
+// single returns the youngest task of w that alone holds what is missing, or
+// nil if there is none or a single task in best is at least as young.
+func single(w *worker, missing model.Resources, best []*task, allowed func(TaskUse) bool) []*task {
+	var found *task
+	for _, u := range w.tasks {
+		if found != nil && younger(found, u) < 0 || len(best) == 1 && best[0].Since >= u.Since {
+			continue
+		}
+		if missing.Fits(u.Use()) && mayEnd(u, allowed) {
+			found = u
+		}
+	}
+	if found == nil {
+		return nil
+	}
+	return []*task{found}
+}
+
+// several returns few tasks of w that together hold what is missing, youngest
+// first, or nil. It gives up once it needs more than most, unless that is zero.
+func several(w *worker, missing model.Resources, most int, allowed func(TaskUse) bool) []*task {
 	var all []*task
 	for _, u := range w.tasks {
-		if u.Class == model.ClassBatch && !u.Doubt && allowed(u.TaskUse) {
+		if mayEnd(u, allowed) {
 			all = append(all, u)
 		}
 	}
 	slices.SortFunc(all, younger)
-	for _, u := range all {
-		if missing.Fits(u.Use()) {
-			return []*task{u}
-		}
-	}
-	return prune(cover(all, missing), missing)
+	return prune(cover(all, missing, most), missing)
 }
 
-// cover takes the tasks that give most of what is missing, until nothing is.
-func cover(all []*task, missing model.Resources) []*task {
+// cover takes the tasks that give most of what is missing, until nothing is, or
+// until it needs more than limit and one that prune may drop.
+func cover(all []*task, missing model.Resources, limit int) []*task {
 	var picked []*task
 	for !missing.Fits(model.Resources{}) {
 		at, most := -1, int64(0)
@@ -64,12 +88,12 @@
 				at, most = i, g
 			}
 		}
-		if at < 0 {
+		if at < 0 || limit > 0 && len(picked) > limit {
 			return nil
 		}
 		picked = append(picked, all[at])
 		missing = missing.Sub(all[at].Use())
-		all = slices.Delete(slices.Clone(all), at, at+1)
+		all = slices.Delete(all, at, at+1)
 	}
 	slices.SortFunc(picked, younger)
 	return picked
