Place equal gang members without a scan for each

Cause: a gang scanned all workers once per member, although the worker that took an equal member stays the best choice until it is full.

Change: keep the worker while the next member is alike and still fits. The property test compares every gang of equal members with single decisions.

Conclusion: the rest is the cost of reserving and releasing each member.

--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -161,9 +161,12 @@
 				}
 			},
 			"gang": func(t *rapid.T) {
-				rs := make([]Request, rapid.IntRange(1, 6).Draw(t, "n"))
+				rs, equal := make([]Request, rapid.IntRange(1, 6).Draw(t, "n")), rapid.Bool().Draw(t, "equal")
 				for i := range rs {
 					s := draw(t)
+					if equal && i > 0 {
+						s.Resources, s.Team = rs[0].Need, rs[0].Team
+					}
 					rs[i] = Request{Task: s.ID, Service: s.Service, Class: model.ClassGang, Team: s.Team, Need: s.Resources}
 				}
 				tasks, free := len(c.tasks), c.Free()
@@ -172,6 +175,9 @@
 					t.Fatalf("gang of %d: %v %q, tasks %d to %d", len(rs), ws, d, tasks, len(c.tasks))
 				}
 				for i, w := range ws {
+					if one, _ := c.Place(rs[i]); equal && one != w {
+						t.Fatalf("member %d goes to %s as part of a gang and to %s alone", i, w, one)
+					}
 					s := model.TaskSpec{ID: rs[i].Task, Service: rs[i].Service, Class: rs[i].Class, Team: rs[i].Team, Resources: rs[i].Need}
 					promise(w, s)
 					if _, ok := c.Task(s.ID); !ok {
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -30,12 +30,17 @@
 		}
 	}()
 	chosen := make([]model.WorkerName, len(rs))
+	last, at := -1, -1
 	for _, i := range order {
 		r := rs[i]
-		at, d := c.place(r)
+		d := DenialNone
+		if last < 0 || !alike(r, rs[last]) || !c.stillFits(at, r) {
+			at, d = c.place(r)
+		}
 		if d != DenialNone {
 			return nil, d
 		}
+		last = i
 		chosen[i] = c.workers[at].name
 		// A name with a zero byte can't clash with a task of the caller.
 		id := "\x00gang\x00" + model.NewTaskID("", i, 0)
@@ -47,6 +52,20 @@
 	return chosen, DenialNone
 }
 
+// alike reports whether the worker chosen for b stays the best for a as long as
+// it has room. A worker that just took a task has less left than before, while
+// the others are unchanged; only the spread of class service breaks this.
+func alike(a, b Request) bool {
+	return a.Class != model.ClassService && a.Class == b.Class && a.Need == b.Need && a.Team == b.Team &&
+		a.Probe == b.Probe && a.Reserve == b.Reserve && slices.Equal(a.Avoid, b.Avoid)
+}
+
+// stillFits reports whether r may be placed on the worker in row at.
+func (c *Cache) stillFits(at int, r Request) bool {
+	need := demand(r.Need)
+	return need.Fits(c.rows[at].free) && c.quotaAllows(r.Team, need) && leaves(c.free, need, r.Reserve)
+}
+
 // share returns the largest part that need takes of whole, in 2^-31.
 func share(need, whole model.Resources) int64 {
 	d := dominant(need, whole)
