Index the reducer's timers, forwards and tasks by what a tick needs

Cause: each tick sorted all calls, jobs and tasks, and each delivery looked through all calls; the cost grew with what is held, not with what is due. Change: timers in heaps, forwards by message id, tasks by worker, lease steps only after events that the lease depends on. Also: a publish with a base above the version in force is refused before it is appended, and a carry after a log gap uses the offset that readers can follow.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -70,7 +70,7 @@
 	case j != nil:
 		if f.Submission.Deadline > 0 {
 			w.until = c.now.Add(f.Submission.Deadline)
-			j.attach(w)
+			c.attach(j, w)
 			return
 		}
 		c.reply(w.origin, j.progress())
@@ -107,7 +107,7 @@
 		return
 	}
 	c.jobs[j.id] = j
-	j.attach(w)
+	c.attach(j, w)
 	c.admitByClass(j, w)
 }
 
@@ -157,7 +157,7 @@
 			return true
 		}
 		c.completeAdopted(j, f.Submission, hash)
-		j.attach(w)
+		c.attach(j, w)
 	default:
 		return false
 	}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -55,6 +55,7 @@
 	}
 	c.count("calls", string(ev.Kind), 1)
 	c.calls[cl.id] = cl
+	c.callTimers.add(cl.deadline, cl.id)
 	c.route(cl)
 }
 
@@ -141,7 +142,7 @@
 
 // route hands a call to the owner of its home, directly or by a forward.
 func (c *Core) route(cl *call) {
-	cl.nextSend = c.now.Add(forwardRepeat)
+	c.routeAt(cl, forwardRepeat)
 	if cl.home == c.cfg.Self.DataCentre {
 		c.routeNear(cl)
 		return
@@ -175,7 +176,7 @@
 	if cl.movable && c.moveElsewhere(cl) {
 		return
 	}
-	cl.nextSend = c.now.Add(noOwnerRetry)
+	c.routeAt(cl, noOwnerRetry)
 }
 
 // retarget notes that the call goes to another instance than before. If the
@@ -192,7 +193,9 @@
 // forward sends a call to an instance.
 func (c *Core) forward(cl *call, to model.Member) {
 	c.retarget(cl, to.Incarnation)
+	delete(c.forwards, cl.message)
 	cl.message = c.send(to, message.Body{Forward: cl.forwardMessage(c.cfg.Self, 1, c.now)})
+	c.forwards[cl.message] = cl.id
 	// Until the transport says that the message was not sent, it may have been.
 	cl.delivered = true
 }
@@ -210,7 +213,7 @@
 		return
 	}
 	if cl.delivered || cl.maybe {
-		cl.nextSend = c.now.Add(noOwnerRetry)
+		c.routeAt(cl, noOwnerRetry)
 		return // the deadline answers "unknown"
 	}
 	c.finishCall(cl, notRun(cl.job, model.CodeHomeUnreachable, "data centre "+string(cl.home)+" can't be reached"))
@@ -241,33 +244,31 @@
 	cl.tried = append(cl.tried, cl.home)
 	cl.home, cl.job = bestDC, c.freshJobID(bestDC)
 	cl.misses = 0
-	cl.nextSend = c.now.Add(forwardRepeat)
+	c.routeAt(cl, forwardRepeat)
 	c.forward(cl, best)
 	return true
 }
 
-// callMessage finds the call that a forward belongs to.
+// onForwardSent handles the delivery of a forward.
 func (c *Core) onForwardSent(ev *Sent) {
-	for _, id := range sortedKeys(c.calls) {
-		cl := c.calls[id]
-		if cl.message != ev.ID {
-			continue
-		}
-		cl.message = ""
-		if ev.Delivery == DeliveryOK {
-			cl.misses = 0
-			return
-		}
-		if ev.Delivery == DeliveryNotSent {
-			cl.delivered = false
-			cl.misses++
-		}
-		cl.nextSend = c.now.Add(noOwnerRetry)
-		if cl.misses >= unreachableMisses && cl.home != c.cfg.Self.DataCentre {
-			c.unreachable(cl)
-		}
+	cl := c.calls[c.forwards[ev.ID]]
+	delete(c.forwards, ev.ID)
+	if cl == nil || cl.message != ev.ID {
+		return
+	}
+	cl.message = ""
+	if ev.Delivery == DeliveryOK {
+		cl.misses = 0
 		return
 	}
+	if ev.Delivery == DeliveryNotSent {
+		cl.delivered = false
+		cl.misses++
+	}
+	c.routeAt(cl, noOwnerRetry)
+	if cl.misses >= unreachableMisses && cl.home != c.cfg.Self.DataCentre {
+		c.unreachable(cl)
+	}
 }
 
 // onReply matches a reply to its call by request id and job id.
@@ -281,7 +282,7 @@
 	switch {
 	case cl.kind == message.ForwardQuery || cl.kind == message.ForwardCancel:
 		if a.Code == model.CodeNoOwner {
-			cl.nextSend = c.now.Add(noOwnerRetry)
+			c.routeAt(cl, noOwnerRetry)
 			return
 		}
 		c.finishCall(cl, a)
@@ -306,17 +307,24 @@
 		return
 	}
 	if transient {
-		cl.nextSend = c.now.Add(noOwnerRetry)
+		c.routeAt(cl, noOwnerRetry)
 		return
 	}
 	c.finishCall(cl, a)
 }
 
+// routeAt sets when a call is routed again.
+func (c *Core) routeAt(cl *call, d time.Duration) {
+	cl.nextSend = c.now.Add(d)
+	c.callTimers.add(cl.nextSend, cl.id)
+}
+
 // tickCalls repeats forwards and answers calls whose deadline has passed.
 func (c *Core) tickCalls() {
-	for _, id := range sortedKeys(c.calls) {
+	for _, id := range c.callTimers.due(c.now) {
 		cl := c.calls[id]
 		switch {
+		case cl == nil:
 		case c.now >= cl.deadline:
 			c.finishCall(cl, c.deadlineAnswer(cl))
 		case c.now >= cl.nextSend:
@@ -346,6 +354,7 @@
 // if an earlier target may have run work that leaves no trace.
 func (c *Core) finishCall(cl *call, a model.Answer) {
 	delete(c.calls, cl.id)
+	delete(c.forwards, cl.message)
 	if a.Outcome == model.OutcomeNotRun && cl.maybe && cl.movable {
 		a.Outcome = model.OutcomeUnknown
 		a.Code = model.CodeInDoubt
@@ -360,7 +369,12 @@
 
 // onGone drops a call whose caller has left. Work that was accepted or has a
 // key goes on.
-func (c *Core) onGone(ev *Gone) { delete(c.calls, ev.Request) }
+func (c *Core) onGone(ev *Gone) {
+	if cl := c.calls[ev.Request]; cl != nil {
+		delete(c.forwards, cl.message)
+		delete(c.calls, ev.Request)
+	}
+}
 
 // knownDataCentre reports whether the text or the membership names dc.
 func (c *Core) knownDataCentre(dc model.DataCentre) bool {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,8 +31,10 @@
 	text  *model.Text // parsed text in force; nil before the first
 	textV uint64
 
-	calls     map[model.RequestID]*call // callers that wait at this instance
-	publishes map[string]*publishing    // publishers that wait at this instance, by publish id
+	calls      map[model.RequestID]*call  // callers that wait at this instance
+	forwards   map[string]model.RequestID // by message id: forwards whose delivery is not known
+	callTimers timers[model.RequestID]
+	publishes  map[string]*publishing // publishers that wait at this instance, by publish id
 
 	// Folded from the data centre's log stream, the same on every instance.
 	keys    *keys.Table
@@ -60,6 +62,7 @@
 	started      bool
 	vmsListed    bool   // the VM list was read at least once
 	consultedBy  uint64 // highest epoch whose consult this instance answered
+	leaseDirty   bool   // something that the lease depends on has changed
 	dirty        bool   // a scheduling pass may place something
 
 	budgets map[string]*retry.Budget
@@ -95,6 +98,7 @@
 		}),
 		pub:       publication.New(),
 		calls:     make(map[model.RequestID]*call),
+		forwards:  make(map[string]model.RequestID),
 		publishes: make(map[string]*publishing),
 		keys:      keys.New(),
 		jobs:      make(map[model.JobID]*job),
@@ -145,7 +149,10 @@
 	case ev.Drain != nil:
 		c.onDrain()
 	}
-	c.stepLease()
+	if c.leaseDirty || ev.Tick != nil {
+		c.leaseDirty = false
+		c.stepLease()
+	}
 	if c.dirty && c.acting() {
 		c.schedule()
 	}
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -37,6 +37,7 @@
 		return
 	}
 	c.lease.LogRead(ev.StartedAt, ev.Result.AtTail())
+	c.leaseDirty = true
 }
 
 // onReadFailed notes that a stream can't be read.
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -15,6 +15,7 @@
 // is sent only when the intent is stable.
 func (c *Core) makeIntent(t *task, w *workerState) {
 	t.phase = phaseIntent
+	c.own.intents[t.id] = t
 	t.notAfter = c.notAfter(w)
 	in := c.intentOf(t)
 	c.append(record.Entry{Intent: &in}, true)
@@ -158,7 +159,7 @@
 	c.track(t)
 	t.phase = phaseDoubt
 	c.own.doubts++
-	t.nextQuery = c.now
+	c.own.queries.add(c.now, t.id)
 	if c.own.workers[in.Worker] != nil {
 		c.own.cache.Promise(in.Worker, t.spec(), c.now)
 		c.own.cache.MarkDoubt(t.id)
@@ -197,8 +198,8 @@
 // unstableIntents returns the intents that wait for the log.
 func (c *Core) unstableIntents() []record.Intent {
 	var out []record.Intent
-	for _, id := range sortedKeys(c.own.tasks) {
-		t := c.own.tasks[id]
+	for _, id := range sortedKeys(c.own.intents) {
+		t := c.own.intents[id]
 		if t.phase != phaseIntent || t.j.answer != nil || t.j.cancelled {
 			continue
 		}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -22,6 +22,11 @@
 	workers  map[model.WorkerName]*workerState
 	tasks    map[model.TaskID]*task
 	jobTasks map[model.JobID]map[model.TaskID]*task
+	byWorker map[model.WorkerName]map[model.TaskID]*task
+	waiters  timers[model.JobID]    // when a job's waiter has to be answered
+	queries  timers[model.TaskID]   // when a worker has to be asked about a start in doubt
+	intents  map[model.TaskID]*task // whose intent is not stable yet
+	depsDown map[string]bool        // by dependency; valid during one pass over queues or services
 	services map[string]*serviceState
 	stops    []*task // whose stop call must be repeated
 	delayed  []*task // idempotent tasks that wait for their backoff
@@ -39,6 +44,7 @@
 	nextHold  model.Time
 
 	probes       []model.WorkerName // quarantined workers that are due for a probe
+	nextWorkers  model.Time
 	nextServices model.Time
 	nextForecast model.Time
 	nextForget   model.Time
@@ -55,6 +61,8 @@
 		workers:  make(map[model.WorkerName]*workerState),
 		tasks:    make(map[model.TaskID]*task),
 		jobTasks: make(map[model.JobID]map[model.TaskID]*task),
+		byWorker: make(map[model.WorkerName]map[model.TaskID]*task),
+		intents:  make(map[model.TaskID]*task),
 		services: make(map[string]*serviceState),
 		holds:    make(map[model.TaskID]map[model.Incarnation]bool),
 		forget:   make(map[model.WorkerName][]model.TaskID),
@@ -91,7 +99,6 @@
 
 	stopping  bool
 	preempted bool
-	nextQuery model.Time
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
@@ -146,7 +153,10 @@
 // tickOwner does the owner's periodic work.
 func (c *Core) tickOwner() {
 	o := c.own
-	c.tickWorkers()
+	if c.now >= o.nextWorkers {
+		o.nextWorkers = c.now.Add(workerInterval)
+		c.tickWorkers()
+	}
 	c.tickWaiters()
 	if !c.acting() {
 		return
@@ -178,6 +188,8 @@
 }
 
 const (
+	// workerInterval is how often silent workers are looked over.
+	workerInterval = 100 * time.Millisecond
 	// serviceInterval is how often instance counts are compared with the text.
 	serviceInterval = 200 * time.Millisecond
 	// forecastInterval is how often batch deadlines are checked against
@@ -203,8 +215,8 @@
 		})
 	}
 	o.parked = keep
-	for _, id := range sortedKeys(c.jobs) {
-		if j := c.jobs[id]; len(j.waiters) > 0 {
+	for _, id := range o.waiters.due(c.now) {
+		if j := c.jobs[id]; j != nil && len(j.waiters) > 0 {
 			c.expireWaiters(j)
 		}
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -86,6 +86,7 @@
 // onNearMessage handles messages that only instances of one data centre send
 // to each other.
 func (c *Core) onNearMessage(from model.Member, b message.Body) {
+	c.leaseDirty = true
 	switch {
 	case b.ConsentRequest != nil:
 		r := c.lease.OnConsentRequest(c.now, from, *b.ConsentRequest)
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -69,12 +69,22 @@
 		return model.CodeDraining
 	case !c.config.caughtUp && c.text == nil:
 		return model.CodeLogUnavailable
+	case ev.Base > c.version():
+		// A base that doesn't exist yet would lose now and could win later, when
+		// a repeated append lands.
+		return model.CodeVersionConflict
 	case c.text != nil && !slices.Equal(c.text.DataCentres, t.DataCentres):
 		return model.CodeHomesChanged
 	}
 	return model.CodeNone
 }
 
+// version returns the version of the text in force; zero if there is none.
+func (c *Core) version() uint64 {
+	v, _, _, _, _ := c.pub.Current()
+	return v
+}
+
 func (c *Core) sendPublish(p *publishing) {
 	p.batch = c.nextID()
 	c.count("appends", "", 1)
@@ -218,13 +228,8 @@
 	if !c.acting() || !c.config.ok || !c.pub.CarryDue(c.now, c.cfg.Timing.Retention, c.carryJitter) {
 		return
 	}
-	v, hash, id, data, ok := c.pub.Current()
-	if !ok {
-		return
-	}
-	b := record.Batch{ID: c.nextID(), Writer: c.cfg.Self.Incarnation, Entries: []record.Entry{{Carry: &record.Carry{
-		Version: v, Hash: hash, Text: data, ID: id, AsOf: c.pub.Folded(),
-	}}}}
+	carry := c.pub.Carry()
+	b := record.Batch{ID: c.nextID(), Writer: c.cfg.Self.Incarnation, Entries: []record.Entry{{Carry: &carry}}}
 	payload, err := record.Encode(b)
 	if err != nil {
 		c.count("encode_errors", "", 1)
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -11,6 +11,7 @@
 func (c *Core) schedule() {
 	c.dirty = false
 	o := c.own
+	o.depsDown = make(map[string]bool)
 	o.queue.SetSlots(o.cache.Capacity().Slots)
 	reserve := o.queue.Headroom(c.now)
 	n := o.queue.Schedule(c.now, func(it *queue.Item) queue.Verdict {
@@ -126,7 +127,12 @@
 		if d == nil || d.Class != model.ClassService || !c.runsHere(d) {
 			continue
 		}
-		if c.runningInstances(name) == 0 {
+		down, known := c.own.depsDown[name]
+		if !known {
+			down = c.runningInstances(name) == 0
+			c.own.depsDown[name] = down
+		}
+		if down {
 			return true
 		}
 	}
@@ -190,6 +196,12 @@
 		o.jobTasks[t.j.id] = m
 	}
 	m[t.id] = t
+	b := o.byWorker[t.worker]
+	if b == nil {
+		b = make(map[model.TaskID]*task)
+		o.byWorker[t.worker] = b
+	}
+	b[t.id] = t
 	t.j.mark(t.index, taskActive)
 }
 
@@ -204,6 +216,8 @@
 	}
 	delete(o.tasks, t.id)
 	delete(o.holds, t.id)
+	delete(o.intents, t.id)
+	delete(o.byWorker[t.worker], t.id)
 	if m := o.jobTasks[t.j.id]; m != nil {
 		delete(m, t.id)
 		if len(m) == 0 {
@@ -235,6 +249,7 @@
 // sendStart sends a start. From here on the task may run.
 func (c *Core) sendStart(t *task, w *workerState) {
 	t.phase = phaseStarting
+	delete(c.own.intents, t.id)
 	t.attempts++
 	t.j.everStarted = true
 	if !t.j.keyed {
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -88,6 +88,7 @@
 	if c.text == nil {
 		return
 	}
+	c.own.depsDown = make(map[string]bool)
 	for _, name := range c.serviceOrder() {
 		s := c.own.services[name]
 		if s.removed {
@@ -207,6 +208,7 @@
 // instanceStates is the operators' view of the services.
 func (c *Core) instanceStates() []ServiceState {
 	var out []ServiceState
+	c.own.depsDown = make(map[string]bool)
 	for _, name := range sortedKeys(c.own.services) {
 		s := c.own.services[name]
 		want := s.svc.Instances
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -163,18 +163,18 @@
 	if t.j.keyed {
 		c.own.doubts++
 	}
-	t.nextQuery = c.now
+	c.own.queries.add(c.now, t.id)
 }
 
 // tickDoubts asks workers about starts in doubt.
 func (c *Core) tickDoubts() {
 	o := c.own
-	for _, id := range sortedKeys(o.tasks) {
+	for _, id := range o.queries.due(c.now) {
 		t := o.tasks[id]
-		if t.phase != phaseDoubt || c.now < t.nextQuery {
+		if t == nil || t.phase != phaseDoubt {
 			continue
 		}
-		t.nextQuery = c.now.Add(c.jitter(queryInterval, 0.8, 1.2))
+		o.queries.add(c.now.Add(c.jitter(queryInterval, 0.8, 1.2)), id)
 		w := o.workers[t.worker]
 		if w == nil {
 			c.orphaned(t)
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -125,18 +125,13 @@
 		t.phase = phaseDoubt
 		c.own.doubts++
 		c.own.cache.MarkDoubt(t.id)
+		c.own.queries.add(c.now, t.id)
 	}
 }
 
 // tasksOn returns the ids of the tasks bound to a worker, in order.
 func (c *Core) tasksOn(name model.WorkerName) []model.TaskID {
-	var out []model.TaskID
-	for _, id := range sortedKeys(c.own.tasks) {
-		if c.own.tasks[id].worker == name {
-			out = append(out, id)
-		}
-	}
-	return out
+	return sortedKeys(c.own.byWorker[name])
 }
 
 func (c *Core) removeWorker(w *workerState) {
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -97,7 +97,7 @@
 // a false not_sent would become a false not_run.
 func TestDeliveries(t *testing.T) {
 	refusal := worker.StartResult{Refusal: &worker.Refusal{Code: model.CodeTooLate}}
-	start := core.Effect{Start: &core.Start{Request: worker.StartRequest{Spec: model.TaskSpec{ID: "t"}}}}
+	start := core.Effect{Start: &core.Start{SendBy: model.Never, Request: worker.StartRequest{Spec: model.TaskSpec{ID: "t"}}}}
 	control := core.Effect{Control: &core.Control{Request: worker.ControlRequest{Action: worker.ActionStop}}}
 	send := core.Effect{Send: &core.Send{ID: "m", To: model.Member{Incarnation: "j"}}}
 	add := core.Effect{Append: &core.Append{Stream: "config", Batch: "b"}}
