Take medians over the tasks that started last

Cause: run times were kept by their end. After a burst only its stragglers still end, so they filled the window, and an operation with 5% stragglers was taken for one of stragglers only and held to the straggler share.

Change: the window keeps the runs with the latest start. The mean, which needs its share of stragglers, is kept over a longer past of all ends.

Stragglers that can't be told apart before they start still delay short work; only stopping or checkpointing them would help.

--- a/internal/queue/demand.go
+++ b/internal/queue/demand.go
@@ -84,7 +84,7 @@
 // Expected returns the typical run time of an operation, zero if none was
 // observed.
 func (q *Queue) Expected(service, operation string) time.Duration {
-	if o := q.stats.ops[opKey{service, operation}]; o != nil && len(o.runs.ring) > 0 {
+	if o := q.stats.ops[opKey{service, operation}]; o != nil && o.runs.len() > 0 {
 		return o.runs.typical()
 	}
 	return 0
--- a/internal/queue/running.go
+++ b/internal/queue/running.go
@@ -96,7 +96,7 @@
 
 // Finished records the run time of a task that ran to its end.
 func (q *Queue) Finished(service, operation string, ran time.Duration, now model.Time) {
-	q.stats.finished(opKey{service, operation}, ran)
+	q.stats.finished(opKey{service, operation}, sample{now.Add(-ran), ran})
 	q.demand.advance(q, now)
 }
 
--- a/internal/queue/stats.go
+++ b/internal/queue/stats.go
@@ -16,6 +16,9 @@
 	// classWindow is the number of run times kept per class, over all of its
 	// operations.
 	classWindow = 512
+	// meanWindow is the number of run times after which the mean forgets half.
+	// A mean needs more of them than a median to hold its share of stragglers.
+	meanWindow = 1024
 	// maxServices bounds the classes learned of services; a text holds fewer.
 	maxServices = 4096
 )
@@ -35,7 +38,7 @@
 // op is the statistics of one operation.
 type op struct {
 	key  opKey
-	runs window
+	runs *window
 	late int // running tasks over the straggler limit
 	at   *list.Element
 }
@@ -70,25 +73,25 @@
 		s.recent.Remove(last)
 		delete(s.ops, last.Value.(*op).key)
 	}
-	o = &op{key: k, runs: window{size: opWindow}}
+	o = &op{key: k, runs: newWindow(opWindow)}
 	o.at = s.recent.PushFront(o)
 	s.ops[k] = o
 	return o
 }
 
-// finished records one run time.
-func (s *stats) finished(k opKey, ran time.Duration) {
-	s.op(k).runs.add(ran)
+// finished records one run.
+func (s *stats) finished(k opKey, run sample) {
+	s.op(k).runs.add(run)
 	class, ok := s.classOf[k.service]
 	if !ok {
 		return
 	}
 	w := s.classes[class]
 	if w == nil {
-		w = &window{size: classWindow}
+		w = newWindow(classWindow)
 		s.classes[class] = w
 	}
-	w.add(ran)
+	w.add(run)
 }
 
 // limit returns the run time above which a task of the class is a straggler,
@@ -96,7 +99,7 @@
 // placed as a whole, so they have none.
 func (s *stats) limit(class model.Class) time.Duration {
 	w := s.classes[class]
-	if w == nil || len(w.ring) < s.cfg.MinSamples || class != model.ClassInteractive && class != model.ClassBatch {
+	if w == nil || w.len() < s.cfg.MinSamples || class != model.ClassInteractive && class != model.ClassBatch {
 		return 0
 	}
 	return time.Duration(float64(w.typical()) * s.cfg.StragglerFactor)
@@ -107,10 +110,10 @@
 // of what is known of a new operation is tasks that still run above it.
 func (s *stats) assumed(service, operation string, class model.Class) time.Duration {
 	o := s.ops[opKey{service, operation}]
-	if o != nil && len(o.runs.ring) < s.cfg.MinSamples && o.late > len(o.runs.ring) {
+	if o != nil && o.runs.len() < s.cfg.MinSamples && o.late > o.runs.len() {
 		return s.limit(class) + 1
 	}
-	if o != nil && len(o.runs.ring) > 0 {
+	if o != nil && o.runs.len() > 0 {
 		return o.runs.typical()
 	}
 	if w := s.classes[class]; w != nil {
@@ -119,35 +122,60 @@
 	return 0
 }
 
-// window keeps the last run times in a ring, with their median and sum.
+// window keeps the run times of the tasks that started last, with their median,
+// and the mean over a longer past. The start decides, not the end: after a burst
+// only its stragglers still end, and the last ends would all be theirs.
 type window struct {
 	size   int
-	ring   []time.Duration
-	next   int
-	sum    time.Duration
+	runs   heap[sample] // the earliest start first
 	median time.Duration
 	stale  int // run times since the median was computed
+	sum    time.Duration
+	count  int64
+}
+
+// sample is one observed run.
+type sample struct {
+	start model.Time
+	ran   time.Duration
+}
+
+// newWindow returns an empty window for that many run times.
+func newWindow(size int) *window {
+	return &window{size: size, runs: heap[sample]{less: func(x, y sample) bool {
+		return x.start < y.start || x.start == y.start && x.ran < y.ran
+	}}}
 }
 
-// add records a run time in place of the oldest.
-func (w *window) add(d time.Duration) {
-	d = max(d, 0)
-	w.sum += d
-	if len(w.ring) < w.size {
-		w.ring = append(w.ring, d)
-	} else {
-		w.sum -= w.ring[w.next]
-		w.ring[w.next] = d
-		w.next = (w.next + 1) % w.size
+// add records a run in place of the one with the earliest start.
+func (w *window) add(s sample) {
+	s.ran = max(s.ran, 0)
+	if w.count >= meanWindow {
+		w.sum, w.count = w.sum/2, w.count/2
+	}
+	w.sum += s.ran
+	w.count++
+	switch {
+	case len(w.runs.a) < w.size:
+		w.runs.push(s)
+	case s.start >= w.runs.a[0].start:
+		w.runs.a[0] = s
+		w.runs.down(0)
 	}
 	w.stale++
 }
 
+// len returns the number of run times that the median is taken over.
+func (w *window) len() int { return len(w.runs.a) }
+
 // typical returns the median. It is computed again once an eighth of the
-// window has changed, so that its cost is spread over the run times.
+// window may have changed, so that its cost is spread over the run times.
 func (w *window) typical() time.Duration {
-	if w.stale > 0 && (w.median == 0 || w.stale >= max(len(w.ring)/8, 1)) {
-		sorted := slices.Clone(w.ring)
+	if w.stale > 0 && (w.median == 0 || w.stale >= max(w.len()/8, 1)) {
+		sorted := make([]time.Duration, w.len())
+		for i, s := range w.runs.a {
+			sorted[i] = s.ran
+		}
 		slices.Sort(sorted)
 		w.median, w.stale = sorted[len(sorted)/2], 0
 	}
@@ -155,9 +183,4 @@
 }
 
 // mean returns the mean run time, zero if there is none.
-func (w *window) mean() time.Duration {
-	if len(w.ring) == 0 {
-		return 0
-	}
-	return w.sum / time.Duration(len(w.ring))
-}
+func (w *window) mean() time.Duration { return w.sum / time.Duration(max(w.count, 1)) }
