Lower the default straggler share to a fifth

Cause: with a quarter of the slots held by stragglers, the p99 wait of short work rose to 1.55 times that without stragglers; the target is 1.5.

Change: a fifth. The test of the share's arithmetic sets a quarter itself, and a test in virtual time checks the target.

400 slots, bursts of 1,200 short tasks, 5% stragglers of 100 times the length as an operation of their own. p99 wait of short work:

without share 0.25 share 0.2 share 0.15 load 0.1 246 ms 349 ms 311 ms 284 ms load 0.4 523 ms 811 ms 723 ms 643 ms

Conclusion: 1.26 and 1.38 times with a fifth. A smaller share would slow the stragglers further without need.

--- a/internal/queue/bench_test.go
+++ b/internal/queue/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -186,6 +188,18 @@
 	return classes{q}
 }
 
+// TestStragglersDoNotDelayShortWork guards against short work that waits behind
+// stragglers of another operation: its p99 wait may be 1.5 times that without.
+func TestStragglersDoNotDelayShortWork(t *testing.T) {
+	is := is.New(t)
+	x := experiment{slots: 400, n: 60000, burst: 1200, load: 0.4}
+	without := x.p99(newClasses(x.slots))
+	x.stragglers, x.named = true, true
+	with, baseline := x.p99(newClasses(x.slots)), x.p99(&oneQueue{})
+	is.True(without > 0 && with <= without*3/2)
+	is.True(baseline > 10*without) // the load is one that the baseline does not serve
+}
+
 // BenchmarkStragglers reports the p99 wait of short work in virtual time.
 func BenchmarkStragglers(b *testing.B) {
 	for _, base := range []experiment{
--- a/internal/queue/config.go
+++ b/internal/queue/config.go
@@ -17,9 +17,9 @@
 // DefaultConfig returns the parameters used where an operator sets none.
 func DefaultConfig() Config {
 	return Config{
-		// A quarter leaves short work three quarters of the slots, while
-		// stragglers still progress.
-		StragglerShare: 0.25,
+		// With a fifth, the p99 wait of short work in bursts measured 1.4 times
+		// that without stragglers; a quarter gave 1.55, above the target of 1.5.
+		StragglerShare: 0.2,
 		// The design page's definition of a straggler.
 		StragglerFactor: 10,
 		// Fewer samples than this can all come from one unusual input.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -187,7 +187,7 @@
 // they run, that hold more than their share, and against holding up short or
 // raised work because of it.
 func TestStragglerShare(t *testing.T) {
-	is, q := is.New(t), New(Config{})
+	is, q := is.New(t), New(Config{StragglerShare: 0.25})
 	q.SetSlots(40) // so stragglers may hold 10
 	for _, s := range []string{"short", "long", "nightly"} {
 		q.stats.learnClass(s, model.ClassBatch)
@@ -224,7 +224,7 @@
 	q.Raise("long", true)
 	is.Equal(run(11*second), map[string]int{"long": 19})
 	// A pass counts what it places even if the caller notes the starts later.
-	q = New(Config{})
+	q = New(Config{StragglerShare: 0.25})
 	q.SetSlots(40)
 	push("short", 1)
 	push("long", 30)
@@ -232,7 +232,7 @@
 	finish(q, "long", 5, 100*time.Second)
 	is.Equal(len(drain(q, 0)), 11)
 	// A straggler larger than the share still runs alone.
-	q = New(Config{})
+	q = New(Config{StragglerShare: 0.25})
 	q.SetSlots(40)
 	push("short", 1)
 	finish(q, "short", 100, time.Second)
