Keep what a scheduling pass needs with its flow

Cause: a pass looked up the statistics of every flow twice and moved large entries in a newly allocated heap.

Change: a flow remembers its operation's statistics until operations are added or dropped, and the heap holds a pointer and a rank and is reused. An item that the caller removes during a pass is no longer offered.

--- a/internal/queue/demand.go
+++ b/internal/queue/demand.go
@@ -97,10 +97,10 @@
 func (q *Queue) PredictedWait(it *Item, now model.Time, free model.Resources) time.Duration {
 	q.running.promote(q, now)
 	ahead := int64(0)
-	own := q.rank(&entry{it: it, deadline: it.Deadline})
+	own := rank(&entry{it: it, deadline: it.Deadline}, q.stats.assumed(it.Service, it.Operation, it.Class))
 	for _, class := range classOrder {
 		for _, f := range q.order[class] {
-			if h := f.head(); h != nil && (class != it.Class || q.rank(h) <= own) {
+			if h := f.head(); h != nil && (class != it.Class || rank(h, q.stats.assumedOf(q.opOf(f), class)) <= own) {
 				ahead += int64(f.live)
 			}
 		}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"time"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -50,6 +52,7 @@
 	jobs      map[model.JobID]*jobEntries
 	raised    map[model.JobID]bool
 	deadlines lazyHeap // interactive items by deadline
+	pass      heap[candidate]
 
 	stats   *stats
 	running running
@@ -66,8 +69,13 @@
 
 // flow is one ordered queue of similar items.
 type flow struct {
-	key flowKey
-	seq uint64 // creation, the last tie-break between flows
+	key  flowKey
+	seq  uint64 // creation, the last tie-break between flows
+	op   *op    // see opOf
+	opAt uint64
+	// Set at the start of each pass.
+	assumed   time.Duration // run time to plan with
+	straggler bool          // expected to be a straggler, and not raised
 	lazyHeap
 }
 
@@ -125,6 +133,8 @@
 		running: newRunning(),
 	}
 	q.deadlines.less = earlier
+	q.pass.less = before
+	q.stats.changes = 1 // unlike that of a flow that has looked for nothing yet
 	return q
 }
 
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -142,6 +142,14 @@
 	is.Equal(tried, []model.TaskID{"big0", "op", "small", "drop"})
 	is.Equal(n, 2)
 	is.Equal(q.Len(), 1000)
+	q.Push(item("other", model.ClassBatch, "other", 0, 9))
+	n = q.Schedule(0, func(*Item) Verdict { // may remove and add work of any flow
+		q.Remove("other")
+		q.Push(item("late", model.ClassBatch, "big", 0, 0))
+		return Blocked
+	})
+	is.Equal(n, 0)
+	is.Equal(q.Len(), 1001)
 }
 
 // TestCancellationWave guards against a wave of cancellations that leaves
--- a/internal/queue/schedule.go
+++ b/internal/queue/schedule.go
@@ -6,23 +6,20 @@
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
-// candidate is a flow in one pass, with the rank of its head.
+// candidate is a flow in one pass, with the rank of its head. It is kept small,
+// since the heap of a pass moves it often.
 type candidate struct {
-	f         *flow
-	head      *entry
-	rank      int64
-	straggler bool
+	f    *flow
+	rank int64
 }
 
+// raisedBefore is subtracted from the rank of raised work. Other ranks are cut
+// off below it, which is 146 years.
+const raisedBefore = 1 << 62
+
 // before is the order of the flows of one class.
 func before(x, y candidate) bool {
-	if x.f.key.raised != y.f.key.raised {
-		return x.f.key.raised
-	}
-	if x.rank != y.rank {
-		return x.rank < y.rank
-	}
-	return x.f.seq < y.f.seq
+	return x.rank < y.rank || x.rank == y.rank && x.f.seq < y.f.seq
 }
 
 // Schedule offers items to try in policy order and returns how many were
@@ -31,7 +28,8 @@
 // by arrival plus expected run time, so that short work goes first and long
 // work moves up as it waits. A flow is left after Blocked, so that a pass costs
 // O(flows + placed · log flows). Flows of stragglers are passed over while
-// stragglers hold their share of the slots, except for raised jobs.
+// stragglers hold their share of the slots, except for raised jobs. The function
+// try may call every method but Schedule.
 func (q *Queue) Schedule(now model.Time, try func(*Item) Verdict) int {
 	q.running.promote(q, now)
 	placed, pending := 0, int64(0)
@@ -39,8 +37,13 @@
 		pass := q.candidates(class)
 		for len(pass.a) > 0 {
 			c := pass.a[0]
-			it := c.head.it
-			if c.straggler && !q.stragglerFits(pending, slotsOf(it)) {
+			head := c.f.head()
+			if head == nil { // try removed what was left
+				pass.pop()
+				continue
+			}
+			it := head.it
+			if c.f.straggler && !q.stragglerFits(pending, slotsOf(it)) {
 				pass.pop()
 				continue
 			}
@@ -48,18 +51,18 @@
 			if v == Stop {
 				return placed
 			}
-			if v != Blocked && !c.head.dead {
-				q.take(c.head)
+			if v != Blocked && !head.dead {
+				q.take(head)
 			}
 			if v == Placed {
 				placed++
 				// Started usually comes from within try; if not, the pass
 				// counts the slots itself.
-				if c.straggler && q.running.byTask[it.Task] == nil {
+				if c.f.straggler && q.running.byTask[it.Task] == nil {
 					pending += slotsOf(it)
 				}
 			}
-			if v == Blocked || !q.refresh(&pass.a[0]) {
+			if v == Blocked || !pass.a[0].refresh() {
 				pass.pop()
 			} else {
 				pass.down(0)
@@ -72,8 +75,9 @@
 // candidates returns the flows of a class that hold items, as a heap, and
 // forgets the empty ones.
 func (q *Queue) candidates(class model.Class) *heap[candidate] {
-	flows := q.order[class]
-	h := &heap[candidate]{less: before, a: make([]candidate, 0, len(flows))}
+	flows, limit := q.order[class], q.stats.limit(class)
+	h := &q.pass
+	h.a = h.a[:0]
 	kept := flows[:0]
 	for _, f := range flows {
 		if f.live == 0 {
@@ -81,8 +85,10 @@
 			continue
 		}
 		kept = append(kept, f)
-		c := candidate{f: f, straggler: !f.key.raised && q.straggles(f.key)}
-		if q.refresh(&c) {
+		f.assumed = q.stats.assumedOf(q.opOf(f), class)
+		f.straggler = !f.key.raised && limit > 0 && f.assumed > limit
+		c := candidate{f: f}
+		if c.refresh() {
 			h.a = append(h.a, c)
 		}
 	}
@@ -94,20 +100,33 @@
 
 // refresh reads the head of a candidate's flow again and reports whether there
 // is one.
-func (q *Queue) refresh(c *candidate) bool {
-	if c.head = c.f.head(); c.head == nil {
+func (c *candidate) refresh() bool {
+	head := c.f.head()
+	if head == nil {
 		return false
 	}
-	c.rank = q.rank(c.head)
+	c.rank = min(rank(head, c.f.assumed), raisedBefore-1)
+	if c.f.key.raised {
+		c.rank -= raisedBefore
+	}
 	return true
 }
 
-// rank returns the time by which items of one class are ordered.
-func (q *Queue) rank(e *entry) int64 {
+// opOf returns the statistics of a flow's operation, nil if there are none. The
+// flow remembers them until operations are added or dropped.
+func (q *Queue) opOf(f *flow) *op {
+	if f.opAt != q.stats.changes {
+		f.op, f.opAt = q.stats.ops[opKey{f.key.service, f.key.operation}], q.stats.changes
+	}
+	return f.op
+}
+
+// rank returns the time by which items of one class are ordered, given the run
+// time assumed of them.
+func rank(e *entry, assumed time.Duration) int64 {
 	switch e.it.Class {
 	case model.ClassInteractive:
-		run := q.stats.assumed(e.it.Service, e.it.Operation, e.it.Class)
-		return int64(e.it.Enqueued.Add(run / time.Duration(max(e.it.Weight, 1))))
+		return int64(e.it.Enqueued.Add(assumed / time.Duration(max(e.it.Weight, 1))))
 	case model.ClassService:
 		return int64(e.it.Enqueued)
 	default:
--- a/internal/queue/stats.go
+++ b/internal/queue/stats.go
@@ -33,6 +33,7 @@
 	recent  *list.List // of *op, the most recently finished first
 	classes map[model.Class]*window
 	classOf map[string]model.Class
+	changes uint64 // counts added and dropped operations
 }
 
 // op is the statistics of one operation.
@@ -73,6 +74,7 @@
 		s.recent.Remove(last)
 		delete(s.ops, last.Value.(*op).key)
 	}
+	s.changes++
 	o = &op{key: k, runs: newWindow(opWindow)}
 	o.at = s.recent.PushFront(o)
 	s.ops[k] = o
@@ -109,7 +111,11 @@
 // class's median if nothing is known; and more than the straggler limit if most
 // of what is known of a new operation is tasks that still run above it.
 func (s *stats) assumed(service, operation string, class model.Class) time.Duration {
-	o := s.ops[opKey{service, operation}]
+	return s.assumedOf(s.ops[opKey{service, operation}], class)
+}
+
+// assumedOf is assumed for the statistics of an operation, nil if there are none.
+func (s *stats) assumedOf(o *op, class model.Class) time.Duration {
 	if o != nil && o.runs.len() < s.cfg.MinSamples && o.late > o.runs.len() {
 		return s.limit(class) + 1
 	}
