Forget ended tasks behind a long-running one

Cause: the list of running tasks in order of start kept everything behind its first task until that ended or counted as a straggler, which needs observed run times.

Change: the list is compacted once more than half of it has ended.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -271,7 +271,8 @@
 }
 
 // Raise puts a job's waiting and later items before other work of their class,
-// or ends that. Its cost is proportional to the job's waiting items.
+// or ends that. Its cost is proportional to the job's waiting items. A raised
+// job is remembered until that is ended.
 func (q *Queue) Raise(job model.JobID, on bool) {
 	if q.raised[job] == on {
 		return
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -365,7 +365,7 @@
 }
 
 // TestBounds guards against statistics and flows that grow with the number of
-// operation names that callers send.
+// operation names that callers send, and against keeping tasks that ended.
 func TestBounds(t *testing.T) {
 	is, q := is.New(t), New(Config{MaxOperations: 10, MaxFlows: 10})
 	for n := range 100 {
@@ -382,6 +382,13 @@
 	is.Equal(len(drain(q, 0)), 100)
 	drain(q, 0)
 	is.Equal(len(q.flows), 0)
+	q.Started(item("first", model.ClassBatch, "new", 0, 0), 0)
+	for n := range 1000 {
+		q.Started(item(fmt.Sprint(n), model.ClassBatch, "new", 0, 0), 0)
+		q.Ended(model.TaskID(fmt.Sprint(n)))
+		drain(q, 0)
+	}
+	is.True(len(q.running.started[model.ClassBatch]) <= compactAt+2)
 }
 
 // TestPredictions guards against a headroom that is late or vanishes at once, a
--- a/internal/queue/running.go
+++ b/internal/queue/running.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -90,6 +91,10 @@
 			u.late = q.stats.op(opKey{u.it.Service, u.it.Operation})
 			u.late.late++
 		}
+		if len(list) > 2*len(r.byTask)+compactAt {
+			// The first task may run for long while later ones end.
+			list = slices.DeleteFunc(list, func(u *run) bool { return u.ended })
+		}
 		r.started[class] = list
 	}
 }
