--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -163,18 +163,18 @@
 	if t.j.keyed {
 		c.own.doubts++
 	}
-	t.nextQuery = c.now
+	c.own.queries.add(c.now, t.id)
 }
 
 // tickDoubts asks workers about starts in doubt.
 func (c *Core) tickDoubts() {
 	o := c.own
-	for _, id := range sortedKeys(o.tasks) {
+	for _, id := range o.queries.due(c.now) {
 		t := o.tasks[id]
-		if t.phase != phaseDoubt || c.now < t.nextQuery {
+		if t == nil || t.phase != phaseDoubt {
 			continue
 		}
-		t.nextQuery = c.now.Add(c.jitter(queryInterval, 0.8, 1.2))
+		o.queries.add(c.now.Add(c.jitter(queryInterval, 0.8, 1.2)), id)
 		w := o.workers[t.worker]
 		if w == nil {
 			c.orphaned(t)
@@ -211,13 +211,21 @@
 		c.taskReported(t, r.Status)
 	case t.boot != "" && r.Boot != t.boot:
 		c.lost(t, "the worker restarted")
-	case r.Clock > t.notAfter:
+	case c.guarded(t.worker) && r.Clock > t.notAfter:
 		// The worker refuses the start from now on, so it never runs.
 		c.count("doubts_not_run", "", 1)
 		c.neverRan(t)
+	case r.Clock > t.notAfter+model.WorkerTime(c.cfg.Timing.TaskLease):
+		// An unguarded worker might still run it, however unlikely.
+		c.lost(t, "the worker does not know the task")
 	}
 }
 
+func (c *Core) guarded(name model.WorkerName) bool {
+	w := c.own.workers[name]
+	return w != nil && w.guarded
+}
+
 // neverRan handles a start that certainly did not and will not run.
 func (c *Core) neverRan(t *task) {
 	if t.j.adopted {
