--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -61,8 +61,9 @@
 	if err != nil {
 		fmt.Fprintln(out, err)
 	}
-	fmt.Fprintf(out, "serving on http://%s; try:\n  curl -s -d '%s' http://%s%s\n", address,
-		`{"service":"preview","body_text":"{\"run_ms\":20,\"result\":\"hello\"}"}`, address, wire.PathRequests)
+	fmt.Fprintf(out, "serving on http://%s; try one of:\n", address)
+	fmt.Fprintf(out, "  gentianpick submit --server http://%s --body hello preview\n", address)
+	fmt.Fprintf(out, "  curl -s -d '%s' http://%s%s\n", `{"service":"preview","body_text":"hello"}`, address, wire.PathRequests)
 	return err
 }
 
--- /dev/null
+++ b/internal/cli/serve_test.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a standalone mode that doesn't run all four classes, doesn't
+// stop by itself, or records a file that doesn't replay.
+func TestStandalone(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "events")
+	code, out, _ := run("serve", "--standalone", "--http", "127.0.0.1:0", "--demo-exit", "--record", file)
+	is.Equal(code, ExitOK)
+	for _, want := range []string{
+		"text: version 1 is in force", "service store: 2 of 2 instances", `preview: done, result "a preview"`,
+		`booking: done, result "booked"`, "6 of 6 tasks done", "4 of 4 tasks done", "serving on http://127.0.0.1:",
+	} {
+		is.True(strings.Contains(out, want)) // output lacks a line
+	}
+	code, out, _ = run("replay", file)
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "events gave the recorded effects"))
+
+	data, err := os.ReadFile(file)
+	is.NoErr(err)
+	// Another data centre's workers and calls have other effects.
+	is.NoErr(os.WriteFile(file, bytes.Replace(data, []byte(`"data_centre":"local"`), []byte(`"data_centre":"other"`), 1), 0o600))
+	code, _, stderr := run("replay", file)
+	is.Equal(code, ExitError)
+	is.True(strings.Contains(stderr, "recorded was"))
+}
+
+// Guards against an instance that starts with settings it can't use.
+func TestServeErrors(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.jsonc")
+	is.New(t).NoErr(os.WriteFile(bad, []byte(`{"name": 3}`), 0o600))
+	for _, tc := range []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"neither", []string{"serve"}, ExitUsage},
+		{"both", []string{"serve", "--standalone", "--settings", bad}, ExitUsage},
+		{"no file", []string{"serve", "--settings", bad + "x"}, ExitError},
+		{"bad file", []string{"serve", "--settings", bad}, ExitError},
+		{"bad address", []string{"serve", "--standalone", "--http", "here"}, ExitError},
+		{"record to a directory", []string{"serve", "--standalone", "--record", t.TempDir()}, ExitError},
+		{"replay without a file", []string{"replay"}, ExitUsage},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			code, _, stderr := run(tc.args...)
+			is.Equal(code, tc.code)
+			is.True(stderr != "")
+		})
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/api"
+	"github.com/gentianpick/gentianpick/internal/burn"
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/driver"
 	"github.com/gentianpick/gentianpick/internal/message"
@@ -112,7 +113,13 @@
 	if cfg.HTTP.MaxDeadline == 0 {
 		cfg.HTTP.MaxDeadline = cfg.Core.Limits.MaxDeadline
 	}
-	in.http = api.New(api.Config{Instance: in.Driver, Metrics: in.tel.Write, Limits: cfg.HTTP})
+	start := time.Now()
+	in.http = api.New(api.Config{
+		Instance: in.Driver,
+		Burn:     burn.NewRecorder(func() model.Time { return model.Time(time.Since(start)) }),
+		Metrics:  in.tel.Write,
+		Limits:   cfg.HTTP,
+	})
 	return in, nil
 }
 
