--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -194,7 +194,7 @@
 		return nil, err
 	}
 	p.pause.Reset()
-	s := newStream(conn, 0, deadline(p.near))
+	s := newStream(conn, 0, p.t.deadline(p.near))
 	s.attribute(p.traffic)
 	p.link = &link{rpc: jsonrpc2.NewConn(p.t.ctx, s, refuse{}, quiet), s: s}
 	return p.link, nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,12 +1,14 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -15,13 +17,17 @@
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
-// node starts a transport on a free port.
-func node(t *testing.T, name string, dc model.DataCentre, handler func(message.Envelope) bool) (*Transport, model.Member) {
+// long is a deadline that no test reaches.
+const long = time.Hour
+
+// node starts a transport on a free port. Calls inside its data centre have
+// the given deadline, others none that a test reaches.
+func node(t *testing.T, name string, dc model.DataCentre, near time.Duration, handler func(message.Envelope) bool) (*Transport, model.Member) {
 	t.Helper()
 	ln, err := Listen("127.0.0.1:0")
 	is.New(t).NoErr(err)
 	self := model.Member{Name: name, Incarnation: model.Incarnation(name + "-1"), DataCentre: dc, Address: ln.Addr().String()}
-	tr := New(Config{Self: self, Listener: ln, Handler: handler})
+	tr := New(Config{Self: self, Listener: ln, Handler: handler, Near: near, Far: long})
 	go tr.Serve()
 	t.Cleanup(tr.Close)
 	return tr, self
@@ -67,8 +73,8 @@
 	refusing, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	refusing.Close()
-	_, live := node(t, "live", "tartu", take)
-	_, busy := node(t, "busy", "tartu", func(message.Envelope) bool { return false })
+	_, live := node(t, "live", "tartu", long, take)
+	_, busy := node(t, "busy", "tartu", long, func(message.Envelope) bool { return false })
 	other := live
 	other.Incarnation = "live-0"
 	anyone := live
@@ -84,6 +90,7 @@
 		ok   bool
 		want func(error) bool
 		code model.Code
+		near time.Duration // zero: long
 	}{
 		{name: "acknowledged", to: live, ok: true},
 		{name: "any incarnation", to: anyone, ok: true},
@@ -92,11 +99,11 @@
 		{name: "queue of the receiver full", to: busy, want: certainlyNotSent, code: CodeRefused},
 		{name: "message too large", to: live, size: frameLimit, want: certainlyNotSent},
 		{name: "closed after writing", to: cut, want: ambiguous},
-		{name: "no acknowledgement", to: raw(t, "tartu", silent), want: ambiguous, code: CodeDeadline},
+		{name: "no acknowledgement", to: raw(t, "tartu", silent), want: ambiguous, code: CodeDeadline, near: 100 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			tr, _ := node(t, "sender", "tartu", take)
+			tr, _ := node(t, "sender", "tartu", cmp.Or(tc.near, long), take)
 			body := message.Body{TextReply: &message.TextReply{Text: make([]byte, tc.size)}}
 			err := tr.Send(context.Background(), tc.to, message.Envelope{ID: "1", Body: body})
 			if tc.ok {
@@ -113,12 +120,11 @@
 	}
 }
 
-// Guards against a silent peer that holds up messages to others. The silent
-// one is in another data centre, so that its deadline is the longer one.
+// Guards against a silent peer that holds up messages to others.
 func TestSilentPeerDelaysNobody(t *testing.T) {
 	is := is.New(t)
-	tr, _ := node(t, "sender", "tartu", take)
-	_, live := node(t, "live", "tartu", take)
+	tr, _ := node(t, "sender", "tartu", long, take)
+	_, live := node(t, "live", "tartu", long, take)
 	dead := raw(t, "voru", silent)
 	ended := make(chan error, 2*queueLength)
 	for range queueLength / 2 {
@@ -133,8 +139,8 @@
 // Guards against a connection that stays in use after it has become silent.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	is := is.New(t)
-	tr, _ := node(t, "sender", "tartu", take)
-	_, live := node(t, "live", "tartu", take)
+	tr, _ := node(t, "sender", "tartu", 2*time.Second, take)
+	_, live := node(t, "live", "tartu", long, take)
 	var dials atomic.Int32
 	relay := raw(t, "tartu", func(n int, conn net.Conn) {
 		dials.Add(1)
@@ -160,7 +166,7 @@
 // an idle connection before.
 func TestClosedConnectionIsRedialled(t *testing.T) {
 	is := is.New(t)
-	tr, _ := node(t, "sender", "tartu", take)
+	tr, _ := node(t, "sender", "tartu", long, take)
 	ln, err := Listen("127.0.0.1:0")
 	is.NoErr(err)
 	self := model.Member{Incarnation: "a", DataCentre: "tartu", Address: ln.Addr().String()}
@@ -186,7 +192,7 @@
 // message that is reported twice or never.
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
-	tr, _ := node(t, "sender", "tartu", take)
+	tr, _ := node(t, "sender", "tartu", long, take)
 	dead := raw(t, "voru", silent)
 	var refused int
 	var posted []*atomic.Int32
@@ -220,11 +226,11 @@
 func TestOrderAndTraffic(t *testing.T) {
 	is := is.New(t)
 	got := make(chan string, 200)
-	receiver, to := node(t, "receiver", "voru", func(env message.Envelope) bool {
+	receiver, to := node(t, "receiver", "voru", long, func(env message.Envelope) bool {
 		got <- env.ID
 		return true
 	})
-	tr, from := node(t, "sender", "tartu", take)
+	tr, from := node(t, "sender", "tartu", long, take)
 	ended := make(chan error, cap(got))
 	for i := range cap(got) {
 		is.NoErr(tr.Post(to, message.Envelope{From: from, ID: strconv.Itoa(i)}, func(err error) { ended <- err }))
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -46,7 +46,7 @@
 		go p.run()
 	}
 	// The timer is set before the call is visible to the peer's goroutine.
-	c.timer = time.AfterFunc(deadline(near), c.expire)
+	c.timer = time.AfterFunc(t.deadline(near), c.expire)
 	select {
 	case p.queue <- c:
 		return nil
@@ -71,11 +71,11 @@
 	}
 }
 
-func deadline(near bool) time.Duration {
+func (t *Transport) deadline(near bool) time.Duration {
 	if near {
-		return nearDeadline
+		return t.cfg.Near
 	}
-	return farDeadline
+	return t.cfg.Far
 }
 
 // begin marks the call as being written to a connection. It reports false if
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -22,6 +23,8 @@
 	// Handler takes a message that arrived and reports whether the event loop
 	// has taken it. It must return well before the sender's deadline.
 	Handler func(message.Envelope) bool
+	Near    time.Duration // deadline of a call inside the data centre; zero: 1 s
+	Far     time.Duration // deadline of a call to another one; zero: 3 s
 }
 
 // Transport sends messages to peers and receives theirs. It is safe for
@@ -40,6 +43,8 @@
 
 // New returns a transport that does not listen yet.
 func New(cfg Config) *Transport {
+	cfg.Near = cmp.Or(cfg.Near, nearDeadline)
+	cfg.Far = cmp.Or(cfg.Far, farDeadline)
 	t := &Transport{cfg: cfg, peers: map[string]*peer{}, slots: make(chan struct{}, acceptedLimit)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
@@ -118,7 +123,7 @@
 }
 
 func (t *Transport) receive(conn net.Conn) {
-	s := newStream(conn, idleAccepted, nearDeadline)
+	s := newStream(conn, idleAccepted, t.cfg.Near)
 	rpc := jsonrpc2.NewConn(t.ctx, s, &inbound{t: t, s: s}, quiet)
 	go func() {
 		<-rpc.DisconnectNotify()
