Fewer and smaller heartbeats between instances of a data centre

Cause: every pair exchanged full heartbeats five times a second; an idle instance sent 10.6 KB/s, above the 4 KB/s that control may take.

Tasks in doubt that are adopted count on a worker even above its capacity.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianpick/gentianpick/internal/instance"
@@ -115,7 +114,7 @@
 		return instance.Config{}, err
 	}
 	return instance.Config{
-		Core:       s.CoreConfig(uuid.NewString(), rand.Uint64()),
+		Core:       s.CoreConfig(newIncarnation(), rand.Uint64()),
 		PeerListen: s.PeerListen,
 		HTTPListen: s.HTTPListen,
 		Platform:   s.Platform,
--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 
-	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianpick/gentianpick/internal/core"
@@ -79,7 +78,7 @@
 	defer f.close()
 	in, err := instance.New(instance.Config{
 		Core: core.Config{
-			Self:   model.Member{Name: "standalone", Incarnation: model.Incarnation(uuid.NewString()), DataCentre: standaloneDC},
+			Self:   model.Member{Name: "standalone", Incarnation: model.Incarnation(newIncarnation()), DataCentre: standaloneDC},
 			Seed:   cmd.Uint64("seed"),
 			Timing: core.DefaultTiming(),
 			Limits: core.DefaultLimits(),
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -161,7 +161,7 @@
 	c.own.doubts++
 	c.own.queries.add(c.now, t.id)
 	if c.own.workers[in.Worker] != nil {
-		c.own.cache.Promise(in.Worker, t.spec(), c.now)
+		c.own.cache.Observe(t.id, in.Worker, t.spec(), model.Resources{}, c.now)
 		c.own.cache.MarkDoubt(t.id)
 	}
 }
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -72,6 +72,7 @@
 // after the wait; workers are fenced and asked for reports at once.
 func (c *Core) takeOver(epoch uint64) {
 	c.own = newOwner(epoch, c.now)
+	c.nextBeat = c.now // an owner beats more often
 	c.count("takeovers", "", 1)
 	if c.text != nil {
 		c.applyText()
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -173,6 +173,7 @@
 	if c.now >= o.nextServices {
 		o.nextServices = c.now.Add(serviceInterval)
 		c.reconcileServices()
+		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
 	}
 	if c.now >= o.nextForecast {
@@ -184,7 +185,6 @@
 		c.flushForgets()
 	}
 	c.tickSnapshot()
-	c.dirty = true
 }
 
 const (
@@ -329,6 +329,9 @@
 	j.answer, j.endedAt = &a, c.now
 	c.count("jobs_ended", string(a.Outcome), 1)
 	c.blame.ForgetJob(j.id)
+	if j.atRisk {
+		c.own.queue.Raise(j.id, false)
+	}
 	if j.durable {
 		c.append(record.Entry{Finish: &record.Finish{Epoch: c.own.epoch, Job: j.id, Answer: a}}, false)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/gentianpick/gentianpick/internal/message"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
@@ -20,29 +22,41 @@
 	}
 	if near {
 		c.nextBeat = c.now.Add(c.cfg.Timing.Heartbeat)
+		if !c.lease.IsOwner() {
+			c.nextBeat = c.now.Add(time.Duration(peerBeatFactor * float64(c.cfg.Timing.Heartbeat)))
+		}
 	}
 	if far {
 		c.nextFarBeat = c.now.Add(c.jitter(c.cfg.Timing.FarHeartbeat, 0.9, 1.1))
 	}
 	hb := c.heartbeat()
+	withLoad := *hb
+	if c.acting() && far {
+		l := c.load()
+		withLoad.Load = &l
+	}
+	owner, known := c.lease.Owner()
 	for _, m := range c.view.Targets() {
-		own := m.DataCentre == c.cfg.Self.DataCentre
-		if (own && near) || (!own && far) {
+		switch own := m.DataCentre == c.cfg.Self.DataCentre; {
+		case !own && far:
+			c.send(m, message.Body{Heartbeat: &withLoad})
+		case own && near && !(known && m.Incarnation == owner.Incarnation):
 			c.send(m, message.Body{Heartbeat: hb})
 		}
 	}
 }
 
+// peerBeatFactor times the heartbeat interval is the interval between two
+// instances neither of which is the owner. It stays below the suspicion time.
+// They hear the owner, and the owner hears their replies, more often.
+const peerBeatFactor = 2.5
+
 func (c *Core) heartbeat() *message.Heartbeat {
 	v, hash, _, _, _ := c.pub.Current()
-	hb := &message.Heartbeat{
+	return &message.Heartbeat{
 		Epoch: c.lease.Epoch(), Owner: c.lease.IsOwner(), SentAt: c.now,
 		TextVersion: v, TextHash: hash, Draining: c.draining,
 	}
-	if c.acting() {
-		hb.Load = c.load()
-	}
-	return hb
 }
 
 // load summarises the owner's state for other data centres.
@@ -107,7 +121,11 @@
 // onHeartbeat answers a heartbeat, with a voucher if the sender is the owner
 // and the promise can be kept.
 func (c *Core) onHeartbeat(from model.Member, hb *message.Heartbeat) {
-	c.view.SetLoad(from, hb.Load, hb.Owner, hb.Epoch)
+	load := message.Load{}
+	if hb.Load != nil {
+		load = *hb.Load
+	}
+	c.view.SetLoad(from, load, hb.Owner, hb.Epoch)
 	v, hash, _, _, _ := c.pub.Current()
 	r := &message.HeartbeatReply{Epoch: c.lease.Epoch(), SentAt: hb.SentAt, TextVersion: v, TextHash: hash}
 	if from.DataCentre == c.cfg.Self.DataCentre {
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -265,7 +265,7 @@
 	for _, id := range c.tasksOn(w.name) {
 		t := c.own.tasks[id]
 		if _, ok := c.own.cache.Task(id); !ok && t.phase == phaseDoubt {
-			c.own.cache.Promise(w.name, t.spec(), c.now)
+			c.own.cache.Observe(id, w.name, t.spec(), model.Resources{}, c.now)
 			c.own.cache.MarkDoubt(id)
 		}
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -40,7 +40,7 @@
 	SentAt      model.Time `json:"sent_at"`         // sender's clock; echoed in the reply
 	TextVersion uint64     `json:"text_version"`
 	TextHash    uint64     `json:"text_hash"`
-	Load        Load       `json:"load"` // meaningful if Owner
+	Load        *Load      `json:"load,omitempty"` // of an owner; only to other data centres
 	Draining    bool       `json:"draining,omitempty"`
 }
 
