Log gaps, leaving workers, gangs and cancelled keys in the reducer

Cause (found by reading): after records were forgotten unread, a read of the tail counted as evidence although a newer claim might be among them, and a key whose outcome was lost could run again; a full report cleared a leaving mark of the VM list; every blocked pass ordered more checkpoints; a large gang could wait for ever behind batch work; a cancelled waiting key was never answered.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -102,6 +102,13 @@
 		c.reply(w.origin, notRun(f.Job, code, msg))
 		return
 	}
+	if j.keyed && c.keysLost() {
+		c.reply(w.origin, model.Answer{
+			Outcome: model.OutcomeUnknown, Code: model.CodeHomeSettling,
+			Message: "records of this data centre were lost; the key may have run before",
+		})
+		return
+	}
 	if j.keyed && !c.own.settled {
 		c.own.parked = append(c.own.parked, parked{f: f, until: w.until})
 		return
@@ -115,6 +122,7 @@
 func (c *Core) admitByClass(j *job, w waiter) {
 	if j.keyed || (j.svc.Class == model.ClassInteractive && w.kind == message.ForwardRequest) {
 		j.deadline = w.until
+		c.budget(j.svc.Name).First(c.now)
 		c.enqueueJob(j)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,7 @@
 	ok       bool           // the last read succeeded
 	failedAt model.Time     // since when reads fail; meaningful if !ok
 	caughtUp bool           // the tail was reached at least once
+	fromAt   model.Time     // when that read was
 	from     uint64         // first offset that was read since the last gap
 	parts    map[uint64]int // by a snapshot's offset: parts read in a row
 }
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -36,7 +36,7 @@
 	if ev.Stream == record.ConfigStream {
 		return
 	}
-	c.lease.LogRead(ev.StartedAt, ev.Result.AtTail())
+	c.lease.LogRead(ev.StartedAt, ev.Result.AtTail() && c.trusted())
 	c.leaseDirty = true
 }
 
@@ -59,10 +59,10 @@
 	case !s.started || (s.next == 0 && !s.caughtUp):
 		s.started = true
 		s.complete = first == 0
-		s.next, s.from = first, first
+		s.next, s.from, s.fromAt = first, first, c.now
 	case first > s.next:
 		s.complete = false
-		s.next, s.from = first, first
+		s.next, s.from, s.fromAt = first, first, c.now
 		c.count("log_gaps", ev.Stream, 1)
 		c.change("log gap", ev.Stream, "", "records were forgotten before they were read")
 		// An owner still has all state; it writes it again at once.
@@ -75,6 +75,19 @@
 	}
 }
 
+// trusted reports whether the read part of the stream shows the claim in
+// force. A claim that the log has forgotten is written again with the owner's
+// snapshot before half of the retention has passed.
+func (c *Core) trusted() bool {
+	return c.stream.complete || c.now >= c.stream.fromAt.Add(c.cfg.Timing.Retention/2)
+}
+
+// keysLost reports whether the log has forgotten keys that no snapshot carried.
+// A key that is not known may then have run; it must not run again.
+func (c *Core) keysLost() bool {
+	return !c.stream.complete && c.now < c.stream.fromAt.Add(c.cfg.Timing.KeyLife)
+}
+
 // foldRecord folds one record of either stream.
 func (c *Core) foldRecord(stream string, r platform.Record) {
 	b, err := record.Decode(r.Payload)
@@ -174,6 +187,9 @@
 	if j.durable {
 		return
 	}
+	if j.sub.Service == "" {
+		j.setSubmission(a.Submission, a.RequestHash) // known so far only by its progress or end
+	}
 	j.durable = true
 	j.deadlineAt = a.DeadlineAt
 	if c.own != nil {
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -21,9 +21,7 @@
 				}
 			}
 		case a.Claim != nil:
-			if c.mayClaim(*a.Claim) {
-				c.appendAlone(record.Entry{Claim: a.Claim})
-			}
+			c.appendAlone(record.Entry{Claim: a.Claim})
 		case a.Release != nil:
 			c.appendAlone(record.Entry{Release: a.Release})
 		case a.Change != nil:
@@ -33,12 +31,6 @@
 	c.syncOwner()
 }
 
-// mayClaim holds a claim back while the folded state has a gap and another
-// instance, which may know more, is alive.
-func (c *Core) mayClaim(cl record.Claim) bool {
-	return c.stream.complete || len(c.view.Alive(c.now)) <= 1 || cl.Epoch == 1
-}
-
 // appendAlone appends one record in a batch of its own. Its repetition is the
 // ownership protocol's business, so it carries no sequence number.
 func (c *Core) appendAlone(e record.Entry) {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -39,9 +39,10 @@
 	nextConsult model.Time
 	parked      []parked
 
-	undurable int // submissions whose Accept was not read back
-	holds     map[model.TaskID]map[model.Incarnation]bool
-	nextHold  model.Time
+	preempting int // checkpoints that were ordered and have not ended
+	undurable  int // submissions whose Accept was not read back
+	holds      map[model.TaskID]map[model.Incarnation]bool
+	nextHold   model.Time
 
 	probes       []model.WorkerName // quarantined workers that are due for a probe
 	nextWorkers  model.Time
@@ -175,6 +176,7 @@
 		c.reconcileServices()
 		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
+		c.evacuate()
 	}
 	if c.now >= o.nextForecast {
 		o.nextForecast = c.now.Add(forecastInterval)
@@ -251,6 +253,12 @@
 	case !j.everStarted:
 		c.endJob(j, notRun(j.id, model.CodeDeadline, "the deadline passed before the work could start"))
 		return *j.answer
+	case j.active == 0 && !j.keyed:
+		c.endJob(j, model.Answer{
+			Outcome: model.OutcomeFailed, Code: model.CodeDeadline,
+			Message: "every attempt failed and the deadline passed",
+		})
+		return *j.answer
 	}
 	return model.Answer{
 		Outcome: model.OutcomeUnknown, Code: model.CodeDeadline,
@@ -344,7 +352,13 @@
 // maybeEndJob ends a job all of whose tasks have ended, or that was cancelled
 // and has nothing running.
 func (c *Core) maybeEndJob(j *job) {
-	if j.answer != nil || j.keyed {
+	if j.answer != nil {
+		return
+	}
+	if j.keyed {
+		if j.cancelled && j.active == 0 && !j.everStarted {
+			c.endJob(j, notRun(j.id, model.CodeCancelled, "cancelled before it started"))
+		}
 		return
 	}
 	switch {
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/placement"
 	"github.com/gentianpick/gentianpick/internal/queue"
@@ -108,6 +110,9 @@
 	ws, denial := c.own.cache.PlaceGang(rs)
 	if denial != "" {
 		c.count("placement_denials", string(denial), 1)
+		if denial == placement.DenialNoFitNow && holdForGang(c.now.Sub(it.Enqueued)) {
+			return queue.Stop // batch work, which comes after gangs, waits
+		}
 		return queue.Blocked
 	}
 	for i, g := range tasks {
@@ -116,6 +121,17 @@
 	return queue.Placed
 }
 
+// gangHold is how long a gang waits before batch work is held back for it, and
+// then how long it is held back before it may go on for as long.
+const gangHold = 20 * time.Second
+
+// holdForGang reports whether batch work is held back for a gang that has
+// waited for the given time. Holding back is bounded, so that a gang that needs
+// what never becomes free stops nothing for good.
+func holdForGang(waited time.Duration) bool {
+	return waited%(2*gangHold) >= gangHold
+}
+
 // dependencyDown reports whether a dependency with policy "hold" has no
 // running instance.
 func (c *Core) dependencyDown(svc *model.Service) bool {
@@ -142,6 +158,11 @@
 // preempt makes room for urgent work: the fewest and youngest batch tasks on
 // one worker are checkpointed and queued again.
 func (c *Core) preempt(r placement.Request) {
+	o := c.own
+	urgent := o.queue.Waiting(model.ClassInteractive) + o.queue.Waiting(model.ClassService)
+	if o.preempting >= urgent {
+		return // room is being made already
+	}
 	w, victims, ok := c.own.cache.Victims(r, func(u placement.TaskUse) bool {
 		t := c.own.tasks[u.Task]
 		return t != nil && t.phase == phaseRunning && !t.stopping && !t.j.keyed &&
@@ -151,12 +172,18 @@
 	if !ok || ws == nil {
 		return
 	}
-	for _, id := range victims {
+	c.checkpoint(ws, victims)
+}
+
+// checkpoint stops tasks in a way that lets them go on elsewhere.
+func (c *Core) checkpoint(w *workerState, ids []model.TaskID) {
+	for _, id := range ids {
 		t := c.own.tasks[id]
 		t.stopping, t.preempted = true, true
+		c.own.preempting++
 	}
-	c.count("preemptions", "", len(victims))
-	c.control(ws, worker.ActionCheckpoint, victims)
+	c.count("preemptions", "", len(ids))
+	c.control(w, worker.ActionCheckpoint, ids)
 }
 
 // start binds a task to a worker.
@@ -214,6 +241,9 @@
 	if t.phase == phaseDoubt && t.j.keyed {
 		o.doubts--
 	}
+	if t.preempted {
+		o.preempting--
+	}
 	delete(o.tasks, t.id)
 	delete(o.holds, t.id)
 	delete(o.intents, t.id)
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -58,7 +58,7 @@
 		c.lease.SeenEpoch(c.now, r.Epoch)
 	case model.CodeLeaving:
 		if w != nil {
-			w.leaving = true
+			c.setLeaving(w, true)
 			c.setFlags(w)
 		}
 	}
@@ -411,6 +411,9 @@
 	}
 	for _, id := range ev.Tasks {
 		if t := c.own.tasks[id]; t != nil {
+			if t.preempted {
+				c.own.preempting--
+			}
 			t.stopping, t.preempted = false, false
 			if t.j.cancelled || t.j.answer != nil {
 				t.stopping = true
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -12,24 +12,25 @@
 
 // workerState is what the owner knows of one worker.
 type workerState struct {
-	name     model.WorkerName
-	address  string
-	rack     string
-	listed   bool // in the platform's list
-	leaving  bool
-	boot     string
-	seq      uint64
-	clock    model.WorkerTime
-	clockAt  model.Time // when the report with that clock was received
-	reported bool       // has sent a full report to this owner
-	reach    bool
-	renewed  model.Time // latest time at which a lease renewal may have arrived
-	watching bool
-	nextTry  model.Time
-	capacity model.Resources
-	guarded  bool // refuses stale epochs and late starts by itself
-	clearing bool // a watch for that report was sent
-	cleared  bool // no start of a former owner can arrive any more
+	name          model.WorkerName
+	address       string
+	rack          string
+	listed        bool // in the platform's list
+	leaving       bool // by the VM list, the worker's own report or its refusal of a start
+	listedLeaving bool // the VM list says that it leaves
+	boot          string
+	seq           uint64
+	clock         model.WorkerTime
+	clockAt       model.Time // when the report with that clock was received
+	reported      bool       // has sent a full report to this owner
+	reach         bool
+	renewed       model.Time // latest time at which a lease renewal may have arrived
+	watching      bool
+	nextTry       model.Time
+	capacity      model.Resources
+	guarded       bool // refuses stale epochs and late starts by itself
+	clearing      bool // a watch for that report was sent
+	cleared       bool // no start of a former owner can arrive any more
 }
 
 // watchRetry is the delay before a worker that didn't answer is asked again.
@@ -51,12 +52,8 @@
 			w.nextTry = c.now
 		}
 		w.listed = true
-		if v.Leaving && !w.leaving {
-			w.leaving = true
-			c.change("worker", string(w.name), "live", "leaving")
-		} else if !v.Leaving && w.leaving && !w.reach {
-			w.leaving = false
-		}
+		w.listedLeaving = v.Leaving
+		c.setLeaving(w, v.Leaving || w.leaving)
 		c.setFlags(w)
 		if !w.watching && c.now >= w.nextTry {
 			c.watch(w)
@@ -70,6 +67,19 @@
 	}
 }
 
+// setLeaving notes whether a worker is leaving.
+func (c *Core) setLeaving(w *workerState, leaving bool) {
+	if w.leaving == leaving {
+		return
+	}
+	w.leaving = leaving
+	to := "live"
+	if leaving {
+		to = "leaving"
+	}
+	c.change("worker", string(w.name), "", to)
+}
+
 // watch sends the next watch call to a worker. One that did not answer the
 // last call gets no lease renewal, so that the end of its tasks' leases can be
 // told from here.
@@ -235,7 +245,7 @@
 	if r.Rack != "" {
 		w.rack = r.Rack
 	}
-	w.leaving = r.Leaving || w.leaving && !r.Full
+	c.setLeaving(w, r.Leaving || w.listedLeaving)
 	w.capacity = r.Capacity
 	first := !w.reported
 	w.reported = w.reported || r.Full
