Space appends by 100 ms and let outcomes wait 2 s for company

Change: GroupCommit 50 to 100 ms, LazyCommit 0.5 to 2 s. A record after a pause is still sent at once; a lost outcome is learnt again from its worker.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -64,10 +64,11 @@
 		TaskLease: 12 * time.Second,
 		// StartGrace is added to a takeover's wait for workers without guards.
 		StartGrace: 500 * time.Millisecond,
-		// GroupCommit bounds a data centre to 20 appends a second, so that 18 of
-		// them stay within the several hundred that the log takes.
-		GroupCommit: 50 * time.Millisecond,
-		LazyCommit:  500 * time.Millisecond,
+		// GroupCommit bounds a data centre to 10 appends a second, so that 18 of
+		// them stay within the several hundred that the log takes. The first
+		// record after a pause is sent at once.
+		GroupCommit: 100 * time.Millisecond,
+		LazyCommit:  2 * time.Second,
 		Retention:   time.Hour,
 		KeyLife:     4 * time.Hour,
 	}
