--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -14,8 +14,8 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "11")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/internal/membership/view_test.go
@@ -0,0 +1,117 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+func sec(s float64) model.Time { return model.Time(s * float64(time.Second)) }
+
+func vm(inc, address string) model.Member {
+	dc := model.DataCentre("tartu")
+	if inc[0] == 'v' {
+		dc = "voru"
+	}
+	return model.Member{Name: inc, Incarnation: model.Incarnation(inc), DataCentre: dc, Address: address}
+}
+
+func newView() *View {
+	return New(Config{Self: vm("t0", "t0:1"), Suspect: 800 * time.Millisecond, FarPeers: 2,
+		Seeds: map[model.DataCentre][]string{"tartu": {"t0:1", "t1:1"}, "voru": {"v1:1", "v2:1", "v3:1"}}})
+}
+
+func names(ms []model.Member) (out string) {
+	for _, m := range ms {
+		out += string(m.Incarnation) + "@" + m.Address + " "
+	}
+	return out
+}
+
+func listed(address string) model.VM {
+	return model.VM{Name: address, Kind: model.VMEntry, DataCentre: "tartu", Address: address}
+}
+
+// TestListAndHeartbeatsDisagree guards against a list that makes silent
+// instances alive, or that hides live ones.
+func TestListAndHeartbeatsDisagree(t *testing.T) {
+	is := is.New(t)
+	v := newView()
+	v.VMList(0, []model.VM{listed("t0:1"), listed("t2:1")})
+	v.Heard(sec(1), vm("t3", "t3:1"), false) // not listed
+	is.Equal(names(v.Alive(sec(1))), "t0@t0:1 t3@t3:1 ")
+	is.Equal(names(v.Targets()[:3]), "@t1:1 @t2:1 t3@t3:1 ")
+	is.Equal(len(v.Members(sec(1))), 3)
+	v.Heard(sec(1), vm("t2", "t2:1"), true)
+	is.Equal(names(v.Alive(sec(1))), "t0@t0:1 t3@t3:1 ") // t2 drains
+	is.Equal(names(v.Alive(sec(1.8))), "t0@t0:1 ")       // silent
+	v.VMList(sec(70), []model.VM{listed("t2:1")})
+	_, known := v.Peer("t3")
+	is.True(!known) // neither heard nor listed
+	_, known = v.Peer("t2")
+	is.True(known)
+}
+
+// TestReplacedVM guards against counting a replaced VM twice, and against a
+// late message of the old incarnation that brings it back.
+func TestReplacedVM(t *testing.T) {
+	is := is.New(t)
+	v := newView()
+	v.Heard(sec(1), vm("t1-old", "t1:1"), false)
+	v.Heard(sec(1.1), vm("t1-new", "t1:1"), false)
+	v.Heard(sec(1.2), vm("t1-old", "t1:1"), false)
+	is.Equal(names(v.Alive(sec(1.2))), "t0@t0:1 t1-new@t1:1 ")
+}
+
+// TestFar guards against forwarding to a silent owner, and against heartbeats
+// that stay with dead instances of another data centre.
+func TestFar(t *testing.T) {
+	is := is.New(t)
+	v := newView()
+	is.Equal(len(v.Targets()), 3) // t1 and two of voru
+	v.Heard(sec(1), vm("v1-a", "v1:1"), false)
+	v.Heard(sec(1), vm("v2-a", "v2:1"), true)
+	v.Heard(sec(1), vm("v3-a", "v3:1"), false)
+	v.SetLoad(vm("v3-a", "v3:1"), message.Load{FreeSlots: 7}, true, 4)
+	v.SetLoad(vm("v1-a", "v1:1"), message.Load{}, true, 3) // superseded owner
+	owner, load, ok := v.FarOwner(sec(1), "voru")
+	is.True(ok)
+	is.Equal(owner.Address, "v3:1")
+	is.Equal(load.FreeSlots, int64(7))
+	is.Equal(names(v.FarPeer(sec(1), "voru")), "v3-a@v3:1 v1-a@v1:1 v2-a@v2:1 ")
+	v.Heard(sec(5), vm("v2-a", "v2:1"), false)
+	_, _, ok = v.FarOwner(sec(5), "voru")
+	is.True(!ok)
+	is.Equal(v.FarPeer(sec(5), "voru")[0].Address, "v2:1")
+	is.Equal(v.DataCentres(), []model.DataCentre{"tartu", "voru"})
+}
+
+// TestWorkers guards against losing workers to one bad list.
+func TestWorkers(t *testing.T) {
+	is := is.New(t)
+	v := newView()
+	worker := func(name string, leaving bool) model.VM {
+		return model.VM{Name: name, Kind: model.VMWorker, DataCentre: "tartu", Leaving: leaving}
+	}
+	v.VMList(0, []model.VM{worker("w2", false), worker("w1", true)})
+	for _, tc := range []struct {
+		at   float64
+		list []model.VM
+		want int
+	}{
+		{10, nil, 2},                                // empty
+		{20, []model.VM{listed("t0:1")}, 2},         // no workers at all
+		{30, []model.VM{worker("w1", true)}, 2},     // w2 is missing
+		{50, []model.VM{worker("w1", false)}, 2},    // since 20 s
+		{61, []model.VM{worker("w1", false)}, 1},    // since 31 s
+		{90, []model.VM{{Kind: model.VMWorker}}, 1}, // of another data centre
+	} {
+		v.VMList(sec(tc.at), tc.list)
+		is.Equal(len(v.Workers()), tc.want)
+		is.Equal(v.Workers()[0].Leaving, tc.at < 50)
+	}
+}
