--- a/internal/ownership/fold.go
+++ b/internal/ownership/fold.go
@@ -66,7 +66,10 @@
 	s.asking = nil
 	s.vacantSince = none
 	s.refusedAt, s.majorityAt = none, now
-	if s.pending != nil && s.pending.claim.Epoch <= c.Epoch {
+	if p := s.pending; p != nil && p.claim.Epoch <= c.Epoch {
+		if p.lonely && c.Owner.Incarnation == self {
+			s.lonely = min(s.lonely+1, maxLonely)
+		}
 		s.pending = nil
 	}
 	if c.Owner.Incarnation != self {
--- a/internal/ownership/state.go
+++ b/internal/ownership/state.go
@@ -33,9 +33,9 @@
 	// for vouchers, so that members which hear it can still take over. It
 	// covers suspicion and a claim without consent.
 	quietFactor = 2
-	// maxLonely caps the doublings of ConsentAfter after claims without
-	// consent that were lost again, which happen when peers can't be reached
-	// although the log can.
+	// maxLonely caps the doublings of ConsentAfter, one for each claim without
+	// consent since the owner was last heard. They keep members that reach the
+	// log but not each other from taking the lease in turn every few seconds.
 	maxLonely = 4
 )
 
@@ -83,8 +83,9 @@
 
 // pendingClaim is a claim that was appended and whose effect is not known yet.
 type pendingClaim struct {
-	claim record.Claim
-	at    model.Time
+	claim  record.Claim
+	at     model.Time
+	lonely bool // without consent
 }
 
 // campaign collects consent to the claim of one epoch.
@@ -138,7 +139,7 @@
 	asking      *campaign
 	pending     *pendingClaim
 	lastClaim   model.Time
-	lonely      int
+	lonely      int // claims without consent that won, since the owner was heard
 
 	draining   bool
 	releasing  uint64 // epoch whose release was appended
@@ -166,6 +167,10 @@
 // Epoch returns the epoch of the last accepted claim, 0 if there is none.
 func (s *State) Epoch() uint64 { return s.epoch }
 
+// KnownEpoch returns the highest epoch that this instance has read or heard of.
+// Heartbeats and their replies carry it.
+func (s *State) KnownEpoch() uint64 { return max(s.epoch, s.seen) }
+
 // Phase returns the phase as of the last Step.
 func (s *State) Phase() Phase { return s.phase }
 
@@ -177,7 +182,7 @@
 	return *s.claim, true
 }
 
-// Owner returns the owner of the highest known epoch, if it is known.
+// Owner returns the owner of KnownEpoch, if it is known.
 func (s *State) Owner() (model.Member, bool) {
 	switch {
 	case s.hintEpoch > s.epoch && s.hintEpoch >= s.seen:
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -56,7 +56,7 @@
 	if !s.owns() || !s.atTail {
 		return nil
 	}
-	if s.releasing == s.epoch && (s.lastTail < s.releasedAt || now.Sub(s.releasedAt) < claimRetry) {
+	if s.releasing == s.epoch && (s.lastTail <= s.releasedAt || now.Sub(s.releasedAt) < claimRetry) {
 		return nil
 	}
 	s.releasing, s.releasedAt = s.epoch, now
@@ -78,7 +78,7 @@
 		return nil
 	}
 	if p := s.pending; p != nil {
-		if s.lastTail < p.at {
+		if s.lastTail <= p.at {
 			return nil
 		}
 		// The same claim again: whichever copy lands, the electors are known.
@@ -110,7 +110,7 @@
 func (s *State) stepFollower(now model.Time, electors []model.Member) []Action {
 	s.suspendedSince, s.quiet = none, false
 	if s.pending != nil {
-		if s.lastTail < s.pending.at || now.Sub(s.pending.at) < claimRetry {
+		if s.lastTail <= s.pending.at || now.Sub(s.pending.at) < claimRetry {
 			return nil
 		}
 		s.pending = nil // the log was read to its tail without it
@@ -155,8 +155,9 @@
 		return s.appendClaim(now, s.nextClaim(electors))
 	}
 	if !refused && now.Sub(a.since) >= s.cfg.ConsentAfter<<s.lonely {
-		s.lonely = min(s.lonely+1, maxLonely)
-		return s.appendClaim(now, s.nextClaim(electors))
+		acts := s.appendClaim(now, s.nextClaim(electors))
+		s.pending.lonely = true
+		return acts
 	}
 	if a.asked != none && now.Sub(a.asked) < askEvery {
 		return nil
@@ -187,12 +188,11 @@
 }
 
 // appendClaim returns the append of a claim. Its effect is known only when the
-// log has been read.
+// log has been read to its tail, and the campaign goes on if it had none.
 func (s *State) appendClaim(now model.Time, c record.Claim) []Action {
 	s.pending = &pendingClaim{claim: c, at: now}
 	s.lastClaim = now
 	if !s.owns() {
-		s.asking = nil
 		s.consented = max(s.consented, c.Epoch)
 	}
 	return []Action{{Claim: &c}}
