Test of the drain of a data centre's last instance

It fails: the last instance gives up its lease while a booking runs, and the caller gets unknown at the deadline instead of the result. The reducer's view still counts the draining instance itself as alive, so its check for other instances never holds.

--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -282,3 +282,18 @@
 	}
 	c.is.Equal(len(c.ledger.Violations()), 0)
 }
+
+// Guards against the last instance of a data centre giving up its lease while
+// a caller still waits: nobody else could finish the request.
+func TestDrainOfTheLastInstance(t *testing.T) {
+	c := newCluster(t, 1)
+	c.owner(0)
+	answered := make(chan wire.Answer, 1)
+	go func() { answered <- c.post(0, wire.PathRequests, booking(1)) }()
+	c.running(1)
+	c.runs[0].Drain()
+	a := <-answered
+	c.is.Equal(a.Outcome, model.OutcomeDone)
+	c.is.Equal(a.ResultText, "b1")
+	c.is.NoErr(<-c.runs[0].ended)
+}
