--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	vmsListed    bool   // the VM list was read at least once
 	consultedBy  uint64 // highest epoch whose consult this instance answered
 	leaseDirty   bool   // something that the lease depends on has changed
+	attempts     int    // numbers the starts of this instance
 	dirty        bool   // a scheduling pass may place something
 
 	budgets map[string]*retry.Budget
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -50,7 +50,6 @@
 	nextForecast model.Time
 	nextForget   model.Time
 	forget       map[model.WorkerName][]model.TaskID
-	attempts     int // for task ids that are unique within the epoch
 	snapshot     *snapshotWriter
 }
 
@@ -103,12 +102,14 @@
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
-// that task ids of successive owners differ.
-const attemptShift = 24
+// that task ids of successive owners differ. 32 bits last for years of starts.
+const attemptShift = 32
 
+// nextAttempt returns the number of a new attempt. The count goes on when the
+// same instance takes the lease up again, possibly in the same epoch.
 func (c *Core) nextAttempt() int {
-	c.own.attempts++
-	return int(c.own.epoch)<<attemptShift | c.own.attempts
+	c.attempts++
+	return int(c.own.epoch)<<attemptShift | c.attempts
 }
 
 func (j *job) item(index int, now model.Time) *queue.Item {
@@ -366,7 +367,7 @@
 		c.endJob(j, model.Answer{Outcome: model.OutcomeDone, Result: j.result()})
 	case j.ended():
 		code := model.CodeTaskFailed
-		if c.blame.JobAtFault(j.id) {
+		if c.atFault(j) {
 			code = model.CodeJobFault
 		}
 		c.endJob(j, model.Answer{Outcome: model.OutcomeFailed, Code: code, Message: string(j.firstFailure())})
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -54,7 +54,7 @@
 func (c *Core) heartbeat() *message.Heartbeat {
 	v, hash, _, _, _ := c.pub.Current()
 	return &message.Heartbeat{
-		Epoch: c.lease.Epoch(), Owner: c.lease.IsOwner(), SentAt: c.now,
+		Epoch: c.lease.KnownEpoch(), Owner: c.lease.IsOwner(), SentAt: c.now,
 		TextVersion: v, TextHash: hash, Draining: c.draining,
 	}
 }
@@ -127,10 +127,10 @@
 	}
 	c.view.SetLoad(from, load, hb.Owner, hb.Epoch)
 	v, hash, _, _, _ := c.pub.Current()
-	r := &message.HeartbeatReply{Epoch: c.lease.Epoch(), SentAt: hb.SentAt, TextVersion: v, TextHash: hash}
+	r := &message.HeartbeatReply{Epoch: c.lease.KnownEpoch(), SentAt: hb.SentAt, TextVersion: v, TextHash: hash}
 	if from.DataCentre == c.cfg.Self.DataCentre {
 		r.Voucher = c.lease.OnHeartbeat(c.now, from, *hb)
-		r.Epoch = c.lease.Epoch()
+		r.Epoch = c.lease.KnownEpoch()
 	}
 	if m, ok := c.lease.Owner(); ok {
 		r.Owner = &m
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -38,7 +38,7 @@
 	if j.keyed && (!c.own.settled || c.own.doubts >= c.cfg.Limits.InDoubt) {
 		return queue.Blocked
 	}
-	if c.blame.JobAtFault(j.id) {
+	if c.atFault(j) {
 		c.failTask(t, "the job fails on healthy workers")
 		return queue.Drop
 	}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -361,7 +361,7 @@
 	switch {
 	case j.answer != nil || j.cancelled:
 		c.maybeEndJob(j)
-	case t.attempts >= limit || c.blame.JobAtFault(j.id):
+	case t.attempts >= limit || c.atFault(j):
 		c.failTask(t, why)
 	case j.svc.Class == model.ClassInteractive && !c.budget(j.svc.Name).Retry(c.now):
 		c.count("retries_denied", j.svc.Name, 1)
@@ -437,6 +437,19 @@
 // noteHealth tells the blame table how a task ended, and applies its verdict
 // on the worker.
 func (c *Core) noteHealth(t *task, ok bool) {
-	ch := c.blame.TaskEnded(c.now, t.worker, t.j.id, ok)
+	ch := c.blame.TaskEnded(c.now, t.worker, t.j.blameID(), ok)
 	c.applyHealth(ch)
 }
+
+// blameID is the job that failures are attributed to. Requests are many small
+// jobs; one id for all of an operation keeps a faulty operation from looking
+// like many jobs that a worker fails.
+func (j *job) blameID() model.JobID {
+	if j.keyed || j.svc.Class == model.ClassInteractive {
+		return model.JobID(j.sub.Service + "/" + j.sub.Operation)
+	}
+	return j.id
+}
+
+// atFault reports whether a batch or gang job fails on healthy workers.
+func (c *Core) atFault(j *job) bool { return j.blameID() == j.id && c.blame.JobAtFault(j.id) }
