Reject responses without the fields that carry their meaning

An empty JSON object from another program at a reused address would have said that a reader is at the log's tail, which an owner takes as evidence for its lease, or that a worker accepted a start. Such a response is now an unavailable error.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -57,6 +57,17 @@
 
 func (e *TooLargeError) Error() string { return "response body is above the limit" }
 
+// MissingError reports a response without a field that every such response
+// has. It comes from another program or another version.
+type MissingError struct{ Field string }
+
+func (e *MissingError) Error() string { return "response has no " + e.Field }
+
+// Missing returns the error of a response that lacks a field.
+func (r Response) Missing(field string) error {
+	return &CallError{Code: CodeBadAnswer, Status: r.Status, Cause: &MissingError{Field: field}}
+}
+
 // Request is one call.
 type Request struct {
 	Method string
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -90,47 +90,58 @@
 	var a struct {
 		Offset *uint64 `json:"offset"`
 	}
-	if err := resp.Decode(&a); err != nil {
-		return 0, &UnavailableError{Op: "append", Cause: err}
+	err = resp.Decode(&a)
+	if err == nil && a.Offset == nil {
+		err = resp.Missing("offset")
 	}
-	if a.Offset == nil {
-		return 0, &UnavailableError{Op: "append", Cause: &httpjson.CallError{Code: httpjson.CodeBadAnswer, Status: resp.Status, Cause: &NoOffsetError{}}}
+	if err != nil {
+		return 0, &UnavailableError{Op: "append", Cause: err}
 	}
 	return *a.Offset, nil
 }
 
-// NoOffsetError reports a response to an append that has no offset.
-type NoOffsetError struct{}
-
-func (e *NoOffsetError) Error() string { return "response has no offset" }
-
 // Read implements Platform.
 func (h *HTTP) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (ReadResult, error) {
 	q := "?from=" + strconv.FormatUint(from, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
-	var r ReadResult
-	err := h.get(ctx, "read", h.records(stream)+q, wait+CallTimeout, &r)
-	return r, err
+	// Without the check of Next and Tail an empty object would say that the
+	// reader is at the tail, which an owner takes as evidence.
+	var a struct {
+		Records []Record `json:"records"`
+		First   uint64   `json:"first"`
+		Next    *uint64  `json:"next"`
+		Tail    *uint64  `json:"tail"`
+	}
+	resp, err := h.get(ctx, h.records(stream)+q, wait+CallTimeout, &a)
+	if err == nil && (a.Next == nil || a.Tail == nil) {
+		err = resp.Missing("next or tail")
+	}
+	if err != nil {
+		return ReadResult{}, &UnavailableError{Op: "read", Cause: err}
+	}
+	return ReadResult{Records: a.Records, Next: *a.Next, First: a.First, Tail: *a.Tail}, nil
 }
 
 // VMs implements Platform.
 func (h *HTTP) VMs(ctx context.Context) ([]model.VM, error) {
 	var a VMsAnswer
-	err := h.get(ctx, "vms", h.base+"/vms", CallTimeout, &a)
-	return a.VMs, err
+	resp, err := h.get(ctx, h.base+"/vms", CallTimeout, &a)
+	if err == nil && a.VMs == nil {
+		err = resp.Missing("vms")
+	}
+	if err != nil {
+		return nil, &UnavailableError{Op: "vms", Cause: err}
+	}
+	return a.VMs, nil
 }
 
-// get decodes into out only if the whole response is valid.
-func (h *HTTP) get(ctx context.Context, op, target string, timeout time.Duration, out any) error {
+func (h *HTTP) get(ctx context.Context, target string, timeout time.Duration, out any) (httpjson.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := httpjson.Do(ctx, h.client, httpjson.Request{Method: http.MethodGet, URL: target, Header: h.header})
 	if err == nil {
 		err = resp.Decode(out)
 	}
-	if err != nil {
-		return &UnavailableError{Op: op, Cause: err}
-	}
-	return nil
+	return resp, err
 }
 
 func (h *HTTP) records(stream string) string {
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -113,10 +113,10 @@
 		length       string // Content-Length, if another than the body's
 		append, read string
 	}{
-		{"whole", 200, `{"offset":0}`, "", "ok", "ok"},
-		{"truncated body", 200, `{"offset":0}`, "40", "unavailable", "unavailable"},
-		{"truncated JSON", 200, `{"offset":0`, "", "unavailable", "unavailable"},
-		{"no offset", 200, `{}`, "", "unavailable", "ok"},
+		{"whole", 200, `{"offset":0,"next":0,"tail":0}`, "", "ok", "ok"},
+		{"truncated body", 200, `{"offset":0,"next":0,"tail":0}`, "40", "unavailable", "unavailable"},
+		{"truncated JSON", 200, `{"offset":0,"next":0,"tail":0`, "", "unavailable", "unavailable"},
+		{"empty object", 200, `{}`, "", "unavailable", "unavailable"},
 		{"bad request", 400, `{}`, "", "refused", "unavailable"},
 		{"throttled", 429, `{}`, "", "refused", "unavailable"},
 		{"proxy timeout", 408, `{}`, "", "unavailable", "unavailable"},
@@ -126,7 +126,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				is.Equal(r.URL.EscapedPath(), "/streams/dc%2Fvoru/records")
+				is.True(r.URL.EscapedPath() == "/streams/dc%2Fvoru/records" || r.URL.Path == "/vms")
 				if tc.length != "" {
 					w.Header().Set("Content-Length", tc.length)
 				}
@@ -140,6 +140,8 @@
 			is.Equal(kind(err), tc.append)
 			_, err = h.Read(context.Background(), "dc/voru", 0, 0)
 			is.Equal(kind(err), tc.read)
+			_, err = h.VMs(context.Background())
+			is.Equal(kind(err), "unavailable") // none of the bodies is a list
 		})
 	}
 }
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -87,7 +87,7 @@
 	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
 	waitMS, err2 := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
 	if err != nil || err2 != nil {
-		writeJSON(w, http.StatusBadRequest, httpProblem{Code: model.CodeBadRequest})
+		writeJSON(w, http.StatusBadRequest, platform.Problem{Code: model.CodeBadRequest})
 		return
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, maxReadWait)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/httpjson"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/platform"
 )
 
 // maxRequest bounds a request body in bytes. The largest is an append.
@@ -75,7 +76,7 @@
 		// net/http notices that the client is gone only after the body was read.
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
 		if err != nil {
-			writeJSON(w, http.StatusRequestEntityTooLarge, httpProblem{Code: model.CodeBodyTooLarge})
+			writeJSON(w, http.StatusRequestEntityTooLarge, platform.Problem{Code: model.CodeBodyTooLarge})
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
@@ -132,12 +133,6 @@
 // drop closes the connection without an answer.
 func drop() { panic(http.ErrAbortHandler) }
 
-// httpProblem is the body of a failure.
-type httpProblem struct {
-	Code    model.Code `json:"code"`
-	Message string     `json:"message,omitempty"`
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -147,7 +142,7 @@
 // readJSON decodes a request body or answers 400.
 func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
 	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
-		writeJSON(w, http.StatusBadRequest, httpProblem{Code: model.CodeBadRequest, Message: err.Error()})
+		writeJSON(w, http.StatusBadRequest, platform.Problem{Code: model.CodeBadRequest, Message: err.Error()})
 		return false
 	}
 	return true
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -49,8 +49,14 @@
 // Watch implements Worker.
 func (h *HTTP) Watch(ctx context.Context, req WatchRequest) (model.Report, error) {
 	var r model.Report
-	err := h.call(ctx, "watch", CallTimeout+req.Wait, req, &r)
-	return r, err
+	resp, err := h.call(ctx, "watch", CallTimeout+req.Wait, req, &r)
+	if err == nil && r.Boot == "" {
+		err = &UnavailableError{Op: "watch", Cause: resp.Missing("boot")}
+	}
+	if err != nil {
+		return model.Report{}, err
+	}
+	return r, nil
 }
 
 // Start implements Worker. A 409 with one of the codes of Refusal is a
@@ -64,7 +70,11 @@
 		return StartResult{Refusal: &Refusal{Code: p.Code, Epoch: p.Epoch}, Clock: p.Clock}, nil
 	}
 	var r StartResult
-	if err := resp.Decode(&r); err != nil {
+	err = resp.Decode(&r)
+	if err == nil && r.Clock == 0 {
+		err = resp.Missing("clock")
+	}
+	if err != nil {
 		return StartResult{}, &UnavailableError{Op: "start", Cause: err}
 	}
 	return r, nil
@@ -73,27 +83,34 @@
 // Query implements Worker.
 func (h *HTTP) Query(ctx context.Context, epoch uint64, task model.TaskID) (QueryResult, error) {
 	var r QueryResult
-	err := h.call(ctx, "query", CallTimeout, QueryRequest{Epoch: epoch, Task: task}, &r)
-	return r, err
+	resp, err := h.call(ctx, "query", CallTimeout, QueryRequest{Epoch: epoch, Task: task}, &r)
+	if err == nil && (r.Boot == "" || r.Status.State == "") {
+		err = &UnavailableError{Op: "query", Cause: resp.Missing("boot or state")}
+	}
+	if err != nil {
+		return QueryResult{}, err
+	}
+	return r, nil
 }
 
 // Control implements Worker.
 func (h *HTTP) Control(ctx context.Context, req ControlRequest) error {
-	return h.call(ctx, "control", CallTimeout, req, &struct{}{})
+	_, err := h.call(ctx, "control", CallTimeout, req, &struct{}{})
+	return err
 }
 
-func (h *HTTP) call(ctx context.Context, op string, timeout time.Duration, in, out any) error {
+func (h *HTTP) call(ctx context.Context, op string, timeout time.Duration, in, out any) (httpjson.Response, error) {
 	resp, err := h.post(ctx, op, timeout, in)
 	if err != nil {
-		return err
+		return resp, err
 	}
 	if p, ok := problem(resp); ok && p.Code == model.CodeStaleEpoch {
-		return &StaleEpochError{Epoch: p.Epoch}
+		return resp, &StaleEpochError{Epoch: p.Epoch}
 	}
 	if err := resp.Decode(out); err != nil {
-		return &UnavailableError{Op: op, Cause: err}
+		return resp, &UnavailableError{Op: op, Cause: err}
 	}
-	return nil
+	return resp, nil
 }
 
 // post returns a response of any status, a NotSentError or an UnavailableError.
--- a/internal/worker/http_test.go
+++ b/internal/worker/http_test.go
@@ -168,6 +168,7 @@
 		{"unknown code", 409, `{"code":"teapot"}`, "unavailable", "unavailable"},
 		{"conflict without body", 409, ``, "unavailable", "unavailable"},
 		{"not found", 404, `{}`, "unavailable", "unavailable"},
+		{"empty object", 200, `{}`, "unavailable", "unavailable"},
 		{"truncated", 200, `{"clock":1`, "unavailable", "unavailable"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -223,7 +224,7 @@
 		}
 		requests <- i
 		if i == 0 {
-			c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+			c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"clock\":1}"))
 		}
 	}
 }
