A task whose result is gone is not answered as done

Cause: a worker that was told to forget a task still knows its state; a done state without a result would have been given to a caller as the whole result. Change: the worker says that the result is gone; a key then answers unknown with code result_lost, and idempotent work runs again.

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -99,10 +99,12 @@
 
 // keyedAnswer is the answer that follows from a worker's final word.
 func keyedAnswer(job model.JobID, st model.TaskStatus) model.Answer {
-	switch st.State {
-	case model.TaskDone:
+	switch {
+	case st.ResultGone:
+		return model.Answer{Job: job, Outcome: model.OutcomeUnknown, Code: model.CodeResultLost, Message: "it ran; its result is no longer held"}
+	case st.State == model.TaskDone:
 		return model.Answer{Job: job, Outcome: model.OutcomeDone, Result: st.Result}
-	case model.TaskStopped:
+	case st.State == model.TaskStopped:
 		return model.Answer{Job: job, Outcome: model.OutcomeFailed, Code: model.CodeTaskStopped, Message: st.Message}
 	}
 	return model.Answer{Job: job, Outcome: model.OutcomeFailed, Code: model.CodeTaskFailed, Message: st.Message}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -288,6 +288,8 @@
 		return
 	}
 	switch {
+	case ok && st.ResultGone:
+		c.retryTask(t, "the result is no longer held")
 	case ok:
 		c.own.queue.Finished(j.sub.Service, j.sub.Operation, st.Ran, c.now)
 		c.taskDone(t, st.Result)
--- a/internal/model/code.go
+++ b/internal/model/code.go
@@ -28,6 +28,7 @@
 	CodeJobFault        Code = "job_fault"        // the job failed on several healthy workers
 	CodeTaskFailed      Code = "task_failed"      // the task reported a failure
 	CodeTaskStopped     Code = "task_stopped"     // stopped at its worker
+	CodeResultLost      Code = "result_lost"      // it ran, and nobody holds its result any more
 	CodeWorkerLost      Code = "worker_lost"      // the worker died or restarted
 	CodeRetriesSpent    Code = "retries_spent"    // attempts or retry budget used up
 	CodeDependencyDown  Code = "dependency_down"  // a dependency is not running
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -229,7 +229,7 @@
 	if t := w.tasks[id]; t != nil {
 		r.Status = t.report(now, w.cfg.UsageLag)
 	} else if state, ok := w.past[id]; ok {
-		r.Status.State, r.Status.Message = state, messageForgotten
+		r.Status.State, r.Status.Message, r.Status.ResultGone = state, messageForgotten, true
 	}
 	if err := w.Faults.lost("", false); err != nil {
 		return worker.QueryResult{}, &worker.UnavailableError{Op: "query", Cause: err}
