--- /dev/null
+++ b/internal/core/checks_test.go
@@ -0,0 +1,340 @@
+package core_test
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/message"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/standin"
+)
+
+// leaveGrace is how long after its listing a leaving worker may still get a
+// start: promise P6, "a few seconds".
+const leaveGrace = 5 * time.Second
+
+// broken notes a broken promise.
+func (w *world) broken(format string, args ...any) {
+	s := fmt.Sprintf(format, args...)
+	w.note("BROKEN: %s", s)
+	w.violations = append(w.violations, s)
+}
+
+// check looks for broken promises at the end of a history.
+func (w *world) check() []string {
+	runs := w.ledger.Runs()
+	w.checkLedger(runs)
+	w.checkCapacity()
+	w.checkAnswers(runs)
+	w.checkJobs()
+	w.checkEnd()
+	for key, ops := range w.keyHistories(runs) {
+		if !porcupine.CheckOperations(keyModel, ops) {
+			w.broken("key %s: %s", key, describe(ops))
+		}
+	}
+	if ops := w.publishHistory(); !porcupine.CheckOperations(textModel, ops) {
+		w.broken("publishes: %s", describe(ops))
+	}
+	return w.violations
+}
+
+// checkLedger checks what really ran.
+func (w *world) checkLedger(runs []standin.Run) {
+	for _, v := range w.ledger.Violations() {
+		if v.Service == "booking" || v.Kind == standin.ViolationTaskTwice {
+			w.broken("%s: task %s on %s", v.Kind, v.Task, v.Worker)
+		}
+	}
+	epochs := map[model.WorkerName]uint64{}
+	leaders := map[model.DataCentre]time.Duration{}
+	for _, r := range runs {
+		if r.Epoch < epochs[r.Worker] {
+			w.broken("%s started by epoch %d on %s at %v after a start by epoch %d",
+				r.Task, r.Epoch, r.Worker, r.Start, epochs[r.Worker])
+		}
+		epochs[r.Worker] = max(epochs[r.Worker], r.Epoch)
+		for _, l := range w.faults.leaving {
+			if l.worker == r.Worker && r.Start > l.from+leaveGrace && r.Start < l.to {
+				w.broken("%s started on %s, %v after it was listed as leaving", r.Task, r.Worker, r.Start-l.from)
+			}
+		}
+		if r.Service != "leader" {
+			continue
+		}
+		dc := w.upstream(r.Worker).dc
+		if r.Start < leaders[dc] {
+			w.broken("singleton %s started at %v while another runs until %v", r.Task, r.Start, leaders[dc])
+		}
+		leaders[dc] = r.End
+		if r.State == model.TaskRunning {
+			leaders[dc] = historyEnd
+		}
+	}
+}
+
+func (w *world) checkCapacity() {
+	for _, address := range w.names {
+		u := w.workers[address]
+		for _, v := range u.Violations() {
+			if v.Kind == standin.ViolationCapacity {
+				w.broken("%s is above its capacity with %s", v.Worker, v.Task)
+			}
+		}
+	}
+}
+
+// upstream returns the worker with a name.
+func (w *world) upstream(name model.WorkerName) *upstream {
+	for _, u := range w.workers {
+		if u.name == name {
+			return u
+		}
+	}
+	return nil
+}
+
+// checkAnswers checks each caller's answer against the caller's own request
+// and against the ledger.
+func (w *world) checkAnswers(runs []standin.Run) {
+	first := map[model.Key]standin.Run{}
+	for _, r := range runs {
+		if r.Service == "booking" {
+			first[r.Key] = r
+			w.checkCause(r)
+		}
+	}
+	for _, a := range w.calls.all {
+		switch {
+		case a.lost:
+			continue
+		case a.answers != 1:
+			w.broken("call %s (%s) at %s has %d answers", a.id, a.kind, a.in.self.Incarnation, a.answers)
+			continue
+		}
+		done := a.answer.Outcome == model.OutcomeDone
+		if a.kind == message.ForwardRequest && done && string(a.answer.Result) != resultOf(a.sub.Body) {
+			w.broken("call %s got %q, not %q", a.id, a.answer.Result, resultOf(a.sub.Body))
+		}
+		if r, ok := first[a.sub.Key]; ok && done && a.sub.Service == "booking" && (r.State != model.TaskDone || r.End > a.end) {
+			w.broken("call %s was told done at %v, but its task %s is %s since %v", a.id, a.end, r.Task, r.State, r.End)
+		}
+	}
+}
+
+// checkCause checks that a run of a key was asked for by a call that was not
+// told before that it did not run.
+func (w *world) checkCause(r standin.Run) {
+	var told []string
+	for _, a := range w.calls.all {
+		if a.sub.Key != r.Key || string(a.sub.Body) != w.runs[r.Task].body || a.begin > r.Start {
+			continue
+		}
+		if a.answer == nil || a.answer.Outcome != model.OutcomeNotRun || a.end > r.Start {
+			return
+		}
+		told = append(told, fmt.Sprintf("%s %s at %v", a.id, a.answer.Code, a.end))
+	}
+	w.broken("%s started at %v; its callers had been told not_run: %v", r.Task, r.Start, told)
+}
+
+func resultOf(body []byte) string {
+	var p standin.Plan
+	_ = json.Unmarshal(body, &p)
+	return p.Result
+}
+
+// checkJobs checks that every accepted job ended as done, with its result.
+func (w *world) checkJobs() {
+	for _, j := range w.calls.jobs {
+		want := []byte(j.result)
+		if j.tasks > 1 {
+			want, _ = json.Marshal(slices.Repeat([]string{j.result}, j.tasks))
+		}
+		switch {
+		case j.cancelled && j.end != nil:
+		case j.end == nil:
+			w.broken("accepted job %s has no end", j.id)
+		case j.end.Outcome != model.OutcomeDone || string(j.end.Result) != string(want):
+			w.broken("accepted job %s ended as %s %s %q %q", j.id, j.end.Outcome, j.end.Code, j.end.Message, j.end.Result)
+		}
+	}
+}
+
+// checkEnd checks the state in which the instances ended, and that no
+// instance's text ever went back.
+func (w *world) checkEnd() {
+	owners, versions := map[model.DataCentre]int{}, map[uint64]bool{}
+	for _, address := range w.order {
+		in := w.insts[address]
+		in.step(core.Event{Status: &core.Status{Request: "status"}})
+		s := w.calls.status[in.self.Incarnation]
+		if s.Acting {
+			owners[in.self.DataCentre]++
+		}
+		versions[s.TextVersion] = true
+		if !s.Ready || s.InDoubt > 0 {
+			w.broken("%s: ready %v, %d in doubt", in.self.Incarnation, s.Ready, s.InDoubt)
+		}
+	}
+	for _, dc := range dataCentres {
+		if owners[dc] != 1 {
+			w.broken("%s has %d owners at the end", dc, owners[dc])
+		}
+	}
+	if len(versions) != 1 {
+		w.broken("versions at the end: %v", versions)
+	}
+	for _, in := range w.all {
+		if !slices.IsSorted(in.versions) {
+			w.broken("%s went back: %v", in.self.Incarnation, in.versions)
+		}
+	}
+	ids := map[uint64]string{}
+	for _, t := range w.calls.texts {
+		if id, ok := ids[t.Version]; ok && id != t.ID {
+			w.broken("version %d is %s and %s", t.Version, id, t.ID)
+		}
+		ids[t.Version] = t.ID
+	}
+}
+
+// keyInput is an operation on a key: a run, or a call with its answer.
+type keyInput struct {
+	run    bool
+	state  model.TaskState // how the run ended
+	body   string
+	answer model.Answer
+}
+
+// keyState is a key's whole state.
+type keyState struct {
+	started bool
+	state   model.TaskState
+	body    string
+}
+
+// keyModel says what callers of one key may be told: at most one run, an end
+// that agrees with it, and "not run" only before it. Refusals that are made
+// before the key is looked up say nothing about earlier attempts.
+var keyModel = porcupine.Model{
+	Init: func() any { return keyState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, in := state.(keyState), input.(keyInput)
+		if in.run {
+			return !s.started, keyState{started: true, state: in.state, body: in.body}
+		}
+		switch a := in.answer; a.Outcome {
+		case model.OutcomeDone:
+			return s.started && s.state == model.TaskDone && string(a.Result) == resultOf([]byte(s.body)), s
+		case model.OutcomeFailed:
+			return s.started && (s.state == model.TaskFailed || s.state == model.TaskStopped), s
+		case model.OutcomeNotRun:
+			return !s.started || s.body != in.body || early[a.Code], s
+		}
+		return true, s
+	},
+	DescribeOperation: func(input, _ any) string {
+		in := input.(keyInput)
+		if in.run {
+			return fmt.Sprintf("run %s %s", resultOf([]byte(in.body)), in.state)
+		}
+		return fmt.Sprintf("call %s -> %s %s %s", resultOf([]byte(in.body)), in.answer.Outcome, in.answer.Code, in.answer.Result)
+	},
+}
+
+// early holds the codes of refusals that are made without looking the key up.
+var early = map[model.Code]bool{
+	model.CodeNotReady: true, model.CodeDraining: true, model.CodeHomeUnreachable: true, model.CodeNoOwner: true,
+}
+
+// keyHistories returns the operations of each key.
+func (w *world) keyHistories(runs []standin.Run) map[model.Key][]porcupine.Operation {
+	out := map[model.Key][]porcupine.Operation{}
+	for _, r := range runs {
+		if r.Service == "booking" {
+			out[r.Key] = append(out[r.Key], porcupine.Operation{
+				Input: keyInput{run: true, state: r.State, body: w.runs[r.Task].body}, Call: int64(r.Start), Return: int64(r.Start),
+			})
+		}
+	}
+	for i, a := range w.calls.all {
+		if a.sub.Service == "booking" && a.answer != nil {
+			out[a.sub.Key] = append(out[a.sub.Key], porcupine.Operation{
+				ClientId: i, Input: keyInput{body: string(a.sub.Body), answer: *a.answer}, Call: int64(a.begin), Return: int64(a.end),
+			})
+		}
+	}
+	return out
+}
+
+// textInput is a publish with its result.
+type textInput struct {
+	id      string
+	base    uint64
+	version uint64 // of a read
+	result  string // "accepted", "conflict", "unknown" or "read"
+}
+
+// textModel is a register with compare-and-append.
+var textModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, _ any) []any {
+		v, in := state.(uint64), input.(textInput)
+		switch {
+		case in.result == "read" && in.version == v, in.result == "conflict" && in.base != v:
+			return []any{v}
+		case in.result == "accepted" && in.base == v:
+			return []any{v + 1}
+		case in.result == "unknown" && in.base == v:
+			return []any{v, v + 1}
+		case in.result == "unknown":
+			return []any{v}
+		}
+		return nil
+	},
+	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
+}).ToModel()
+
+// publishHistory returns the publishes and a read of the version at the end.
+func (w *world) publishHistory() []porcupine.Operation {
+	var ops []porcupine.Operation
+	for i, p := range w.calls.publishes {
+		in, end := textInput{id: p.id, base: p.base, result: "unknown"}, historyEnd
+		if p.answer != nil {
+			end, in.result = p.end, "conflict"
+			if p.answer.Accepted {
+				in.result = "accepted"
+			}
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Input: in, Call: int64(p.begin), Return: int64(end)})
+	}
+	for _, s := range w.calls.status {
+		in := textInput{version: s.TextVersion, result: "read"}
+		ops = append(ops, porcupine.Operation{ClientId: len(ops), Input: in, Call: int64(historyEnd), Return: int64(historyEnd + 1)})
+		break
+	}
+	return ops
+}
+
+// describe lists the operations of a history in the order of their calls.
+func describe(ops []porcupine.Operation) string {
+	ops = slices.Clone(ops)
+	slices.SortFunc(ops, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	var b strings.Builder
+	for _, o := range ops {
+		what := fmt.Sprintf("%+v", o.Input)
+		if _, ok := o.Input.(keyInput); ok {
+			what = keyModel.DescribeOperation(o.Input, nil)
+		}
+		fmt.Fprintf(&b, "\n\t%v to %v: %s", time.Duration(o.Call), time.Duration(o.Return), what)
+	}
+	return b.String()
+}
