Answer undeliverable queries unknown instead of not run

Cause: a query or a cancellation that could not be delivered (its home out of reach, an instance that drains or has no text yet) was answered not_run, which told the caller of an accepted job that the job would not run. Ruled out: the owner's own answers, which name the job's end, and new submissions, which did not run in these cases. Change: a local refusal of a query or cancellation is unknown with the same code. Conclusion: an accepted job is never reported as not run by an instance that could not ask its owner.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -50,7 +50,8 @@
 	cl := &call{id: ev.Request, kind: ev.Kind, sub: ev.Submission, job: ev.Job}
 	if code, msg := c.checkCall(cl, ev); code != model.CodeNone {
 		c.count("calls_refused", string(code), 1)
-		c.answerCaller(ev.Request, notRun(ev.Job, code, msg))
+		cl.job = ev.Job
+		c.answerCaller(ev.Request, cl.refusal(code, msg))
 		return
 	}
 	c.count("calls", string(ev.Kind), 1)
@@ -213,7 +214,7 @@
 		cl.nextSend = c.now.Add(noOwnerRetry)
 		return // the deadline answers "unknown"
 	}
-	c.finishCall(cl, notRun(cl.job, model.CodeHomeUnreachable, "data centre "+string(cl.home)+" can't be reached"))
+	c.finishCall(cl, cl.refusal(model.CodeHomeUnreachable, "data centre "+string(cl.home)+" can't be reached"))
 }
 
 // moveElsewhere sends idempotent work to another data centre that has an owner
@@ -336,8 +337,17 @@
 		a.Outcome = model.OutcomeUnknown
 		a.Message = "the deadline passed with no answer; ask again with the job id"
 	default:
-		a.Outcome = model.OutcomeNotRun
-		a.Code = model.CodeNoOwner
+		return cl.refusal(model.CodeNoOwner, a.Message)
+	}
+	return a
+}
+
+// refusal is the answer to a call that was certainly not delivered. New work
+// then did not run, but a query or a cancellation says nothing about its job.
+func (cl *call) refusal(code model.Code, msg string) model.Answer {
+	a := notRun(cl.job, code, msg)
+	if cl.kind == message.ForwardQuery || cl.kind == message.ForwardCancel {
+		a.Outcome = model.OutcomeUnknown
 	}
 	return a
 }
