Answer not run only when it holds for every forward of a call

Cause: a call's forwards are repeated, and a "not run" from the target, or a forward that was certainly not sent, cleared the doubt about all of them. An earlier forward with an ambiguous delivery, or one that a paused instance passed on seconds later, was then admitted after the caller had been told not_run. Ruled out: the key table and the intents; the late forward is a valid request of a key that has not run. Change: a forward has an id, replies name the forwards they are for, and a call keeps the set of forwards that may still be taken. A refusal is the answer once the set is empty; else the answer is unknown after at most forwardRepeat. Conclusion: not_run now covers repeated and passed-on forwards.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -12,7 +12,7 @@
 // onForward takes a request that another instance forwarded: as the owner it
 // admits it, else it hands it on to its data centre's owner.
 func (c *Core) onForward(f *message.Forward) {
-	o := origin{member: f.Origin, request: f.Request, job: f.Job}
+	o := originOf(f)
 	if jobHome(f.Job) != c.cfg.Self.DataCentre {
 		c.reply(o, notRun(f.Job, model.CodeHopLimit, "the job's home is another data centre"))
 		return
@@ -37,15 +37,13 @@
 	until model.Time
 }
 
-func (p parked) origin() origin {
-	return origin{member: p.f.Origin, request: p.f.Request, job: p.f.Job}
-}
+func (p parked) origin() origin { return originOf(p.f) }
 
 // admit decides on a request at the owner.
 func (c *Core) admit(f *message.Forward) {
 	until := c.now.Add(time.Duration(f.Remaining))
 	w := waiter{
-		origin: origin{member: f.Origin, request: f.Request, job: f.Job},
+		origin: originOf(f),
 		kind:   f.Kind, until: until,
 	}
 	switch f.Kind {
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/message"
@@ -12,22 +13,21 @@
 // forwards it to the owner of its home data centre, again and again until it
 // has an answer: a forward may be repeated, since the job id is the same.
 type call struct {
-	id        model.RequestID
-	kind      message.ForwardKind
-	sub       model.Submission
-	job       model.JobID
-	home      model.DataCentre
-	deadline  model.Time // the caller gets an answer by then
-	movable   bool       // idempotent work without a key: may go to another data centre
-	keyed     bool       // non-idempotent
-	accepted  bool       // the owner has said that the job is durable
-	target    model.Incarnation
-	message   string // id of the last forward
-	delivered bool   // the target may have taken a forward of this job id
-	maybe     bool   // an earlier target may have run it
-	tried     []model.DataCentre
-	misses    int // forwards in a row that certainly were not delivered
-	nextSend  model.Time
+	id       model.RequestID
+	kind     message.ForwardKind
+	sub      model.Submission
+	job      model.JobID
+	home     model.DataCentre
+	deadline model.Time // the caller gets an answer by then
+	movable  bool       // idempotent work without a key: may go to another data centre
+	keyed    bool       // non-idempotent
+	accepted bool       // the owner has said that the job is durable
+	message  string     // id of the last forward, until its delivery is known
+	open     []string   // ids of forwards that an owner may take or have taken, without a "not run"
+	refused  *model.Answer
+	tried    []model.DataCentre
+	misses   int // forwards in a row that certainly were not delivered
+	nextSend model.Time
 }
 
 const (
@@ -162,9 +162,10 @@
 // routeNear hands a call to the owner of the own data centre.
 func (c *Core) routeNear(cl *call) {
 	if c.acting() {
-		c.retarget(cl, c.cfg.Self.Incarnation)
-		cl.delivered = true
-		c.admit(cl.forwardMessage(c.cfg.Self, 0, c.now))
+		f := cl.forwardMessage(c.cfg.Self, 0, c.now)
+		f.ID = c.nextID()
+		cl.open = append(cl.open, f.ID)
+		c.admit(f)
 		return
 	}
 	m, ok := c.lease.Owner()
@@ -179,23 +180,14 @@
 	cl.nextSend = c.now.Add(noOwnerRetry)
 }
 
-// retarget notes that the call goes to another instance than before. If the
-// former one may have taken it, "not run" from the new one proves nothing for
-// work that leaves no trace in the log.
-func (c *Core) retarget(cl *call, inc model.Incarnation) {
-	if cl.target != inc && cl.target != "" && cl.delivered {
-		cl.maybe = true
-		cl.delivered = false
-	}
-	cl.target = inc
-}
-
-// forward sends a call to an instance.
+// forward sends a call to an instance. Until the transport says that the
+// message was not sent, an owner may take it at any time.
 func (c *Core) forward(cl *call, to model.Member) {
-	c.retarget(cl, to.Incarnation)
-	cl.message = c.send(to, message.Body{Forward: cl.forwardMessage(c.cfg.Self, 1, c.now)})
-	// Until the transport says that the message was not sent, it may have been.
-	cl.delivered = true
+	f := cl.forwardMessage(c.cfg.Self, 1, c.now)
+	f.ID = c.nextID()
+	cl.message = f.ID
+	cl.open = append(cl.open, f.ID)
+	c.emit(Effect{Send: &Send{To: to, ID: f.ID, Body: message.Body{Forward: f}}})
 }
 
 func (cl *call) forwardMessage(self model.Member, hops int, now model.Time) *message.Forward {
@@ -210,7 +202,7 @@
 	if cl.movable && c.moveElsewhere(cl) {
 		return
 	}
-	if cl.delivered || cl.maybe {
+	if len(cl.open) > 0 {
 		cl.nextSend = c.now.Add(noOwnerRetry)
 		return // the deadline answers "unknown"
 	}
@@ -247,20 +239,28 @@
 	return true
 }
 
-// callMessage finds the call that a forward belongs to.
+// onForwardSent handles the delivery of a forward.
 func (c *Core) onForwardSent(ev *Sent) {
 	for _, id := range sortedKeys(c.calls) {
 		cl := c.calls[id]
-		if cl.message != ev.ID {
+		if !contains(cl.open, ev.ID) {
 			continue
 		}
-		cl.message = ""
+		last := cl.message == ev.ID
+		if last {
+			cl.message = ""
+		}
+		if ev.Delivery == DeliveryNotSent && c.forwardsOver(cl, []string{ev.ID}) {
+			return
+		}
+		if !last || cl.refused != nil {
+			return
+		}
 		if ev.Delivery == DeliveryOK {
 			cl.misses = 0
 			return
 		}
 		if ev.Delivery == DeliveryNotSent {
-			cl.delivered = false
 			cl.misses++
 		}
 		cl.nextSend = c.now.Add(noOwnerRetry)
@@ -271,9 +271,24 @@
 	}
 }
 
+// forwardsOver notes forwards that did not and will not make anything run. It
+// reports whether the call was answered: a refusal counts once it holds for
+// every forward.
+func (c *Core) forwardsOver(cl *call, ids []string) bool {
+	cl.open = slices.DeleteFunc(cl.open, func(id string) bool { return contains(ids, id) })
+	if cl.refused == nil || len(cl.open) > 0 {
+		return false
+	}
+	c.finishCall(cl, *cl.refused)
+	return true
+}
+
 // onReply matches a reply to its call by request id and job id.
 func (c *Core) onReply(r *message.Reply) {
 	cl := c.calls[r.Request]
+	if cl != nil && r.Answer.Outcome == model.OutcomeNotRun && c.forwardsOver(cl, r.Forwards) {
+		return
+	}
 	if cl == nil || r.Answer.Job != cl.job {
 		c.count("replies_late", "", 1)
 		return
@@ -298,9 +313,13 @@
 	}
 }
 
-// onNotRun decides whether a target's "not run" is the caller's answer.
+// onNotRun decides whether a target's "not run" is the caller's answer. It
+// holds only for the forwards that the target names. Another one may still be
+// on its way, so the answer waits until it is known not to run either.
 func (c *Core) onNotRun(cl *call, a model.Answer) {
-	cl.delivered = false
+	if cl.refused != nil {
+		return
+	}
 	transient := a.Code == model.CodeNoOwner || a.Code == model.CodeDraining
 	elsewhere := transient || a.Code == model.CodeOverloaded || a.Code == model.CodeQueueFull
 	if elsewhere && cl.movable && c.moveElsewhere(cl) {
@@ -310,6 +329,12 @@
 		cl.nextSend = c.now.Add(noOwnerRetry)
 		return
 	}
+	if len(cl.open) > 0 {
+		cl.refused = &a
+		cl.nextSend = model.Never
+		cl.deadline = min(cl.deadline, c.now.Add(forwardRepeat))
+		return
+	}
 	c.finishCall(cl, a)
 }
 
@@ -333,7 +358,7 @@
 	case cl.accepted:
 		a.Outcome = model.OutcomeAccepted
 		a.Message = "the job is accepted and not finished; ask again with its id"
-	case cl.delivered || cl.maybe:
+	case len(cl.open) > 0:
 		a.Outcome = model.OutcomeUnknown
 		a.Message = "the deadline passed with no answer; ask again with the job id"
 	default:
@@ -352,14 +377,9 @@
 	return a
 }
 
-// finishCall answers a caller. "Not run" from the last target is not certain
-// if an earlier target may have run work that leaves no trace.
+// finishCall answers a caller.
 func (c *Core) finishCall(cl *call, a model.Answer) {
 	delete(c.calls, cl.id)
-	if a.Outcome == model.OutcomeNotRun && cl.maybe && cl.movable {
-		a.Outcome = model.OutcomeUnknown
-		a.Code = model.CodeInDoubt
-	}
 	c.answerCaller(cl.id, a)
 }
 
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -54,9 +54,14 @@
 
 // origin says where the answer to a forwarded request goes.
 type origin struct {
-	member  model.Member
-	request model.RequestID
-	job     model.JobID
+	member   model.Member
+	request  model.RequestID
+	job      model.JobID
+	forwards []string // every forward of the request that was taken
+}
+
+func originOf(f *message.Forward) origin {
+	return origin{member: f.Origin, request: f.Request, job: f.Job, forwards: []string{f.ID}}
 }
 
 // waiter is a request that waits for a job.
@@ -178,7 +183,7 @@
 // reply answers one forwarded request.
 func (c *Core) reply(o origin, a model.Answer) {
 	a.Job = o.job
-	r := &message.Reply{Request: o.request, Answer: a}
+	r := &message.Reply{Request: o.request, Answer: a, Forwards: o.forwards}
 	if o.member.Incarnation == c.cfg.Self.Incarnation {
 		c.onReply(r)
 		return
@@ -207,6 +212,7 @@
 func (j *job) attach(w waiter) {
 	for i := range j.waiters {
 		if j.waiters[i].request == w.request && j.waiters[i].member.Incarnation == w.member.Incarnation {
+			w.forwards = append(w.forwards, j.waiters[i].forwards...)
 			j.waiters[i] = w
 			return
 		}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -116,6 +116,7 @@
 
 // Forward hands a caller's request to another instance.
 type Forward struct {
+	ID         string           `json:"id"`      // of this forward at its origin; one that is passed on keeps it
 	Origin     model.Member     `json:"origin"`  // instance that the caller called; the reply goes there
 	Request    model.RequestID  `json:"request"` // id at the instance that the caller called
 	Kind       ForwardKind      `json:"kind"`
@@ -127,8 +128,9 @@
 
 // Reply answers a Forward.
 type Reply struct {
-	Request model.RequestID `json:"request"`
-	Answer  model.Answer    `json:"answer"`
+	Request  model.RequestID `json:"request"`
+	Answer   model.Answer    `json:"answer"`
+	Forwards []string        `json:"forwards,omitempty"` // that this answer is for
 }
 
 // TextRequest asks a peer for the text in force if its version is above Have.
