Log outcomes again that an earlier epoch could not log

Cause: an owner that lost the lease dropped its queued outcome records but kept them in its key table. As owner again it took the table for the log and let the worker forget the result, so the outcome never reached the log. The next owner queried the worker, which said done without a result, and callers got an empty result. Ruled out: the worker's retention of results (10 minutes) and the caller's matching of answers; the result was gone at the worker by the owner's order. Change: the key table marks outcomes read from the log; a new owner appends the others again. A worker says when a result is gone, and such a task is settled as unknown, or run again if it is idempotent.

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -116,7 +116,7 @@
 		Epoch: c.own.epoch, Service: in.Service, Key: in.Key, RequestHash: in.RequestHash,
 		Attempt: in.Attempt, Answer: a, Worker: in.Worker, Task: in.Task,
 	}
-	c.keys.FoldOutcome(c.now, o)
+	c.keys.Note(c.now, o)
 	c.append(record.Entry{Outcome: &o}, false)
 }
 
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -87,6 +87,11 @@
 	for _, e := range c.keys.Doubtful() {
 		c.adoptIntent(e)
 	}
+	// Outcomes that an earlier epoch of this instance could not log any more.
+	// Workers keep the results until the log has them.
+	for _, o := range c.keys.Unlogged(epoch) {
+		c.append(record.Entry{Outcome: &o}, false)
+	}
 	c.dirty = true
 }
 
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -207,6 +207,8 @@
 	}
 	r := ev.Result
 	switch {
+	case r.Status.ResultGone:
+		c.lost(t, "the worker no longer holds the result")
 	case r.Status.State != model.TaskNotKnown:
 		c.taskReported(t, r.Status)
 	case t.boot != "" && r.Boot != t.boot:
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -23,6 +23,7 @@
 	Attempt int    // newest attempt
 	Intent  record.Intent
 	Answer  *model.Answer // nil: in doubt or running
+	Logged  bool          // Answer was read from the log
 	At      model.Time    // when the entry last changed, by this instance's clock
 }
 
@@ -96,14 +97,22 @@
 	case e.Answer != nil && e.Answer.Outcome != model.OutcomeNotRun:
 		return Conflict
 	}
-	e.Attempt, e.Intent, e.Answer, e.At = in.Attempt, in, nil, now
+	e.Attempt, e.Intent, e.Answer, e.Logged, e.At = in.Attempt, in, nil, false, now
 	return Accepted
 }
 
-// FoldOutcome folds the outcome of an attempt. "Done" and "failed" are kept
-// over anything else; "unknown" is kept over "not run"; "not run" counts only
-// for the newest attempt.
+// FoldOutcome folds the outcome of an attempt from the log.
 func (t *Table) FoldOutcome(now model.Time, o record.Outcome) {
+	t.Note(now, o)
+	if e := t.entries[o.Answer.Job]; e.Answer != nil && e.Answer.Outcome == o.Answer.Outcome {
+		e.Logged = true
+	}
+}
+
+// Note takes over an outcome that the log may lack. "Done" and "failed" are
+// kept over anything else; "unknown" is kept over "not run"; "not run" counts
+// only for the newest attempt.
+func (t *Table) Note(now model.Time, o record.Outcome) {
 	a := o.Answer
 	e := t.entries[a.Job]
 	if e == nil {
@@ -119,7 +128,7 @@
 	if a.Outcome == model.OutcomeNotRun && o.Attempt < e.Attempt {
 		return
 	}
-	e.Answer, e.At = &a, now
+	e.Answer, e.Logged, e.At = &a, false, now
 	e.Attempt = max(e.Attempt, o.Attempt)
 }
 
@@ -171,6 +180,21 @@
 	return out
 }
 
+// Unlogged returns the outcomes that were not read from the log, in the order
+// of their job ids.
+func (t *Table) Unlogged(epoch uint64) []record.Outcome {
+	var out []record.Outcome
+	for _, e := range t.Sorted() {
+		if e.Answer != nil && !e.Logged {
+			out = append(out, record.Outcome{
+				Epoch: epoch, Service: e.Service, Key: e.Key, RequestHash: e.Hash, Attempt: e.Attempt,
+				Answer: *e.Answer, Worker: e.Intent.Worker, Task: e.Intent.Task,
+			})
+		}
+	}
+	return out
+}
+
 // Records returns the records from which the entry can be folded again.
 func (e *Entry) Records(epoch uint64) []record.Entry {
 	var out []record.Entry
--- a/internal/model/work.go
+++ b/internal/model/work.go
@@ -86,9 +86,10 @@
 	Spec       TaskSpec      `json:"spec"`
 	State      TaskState     `json:"state"`
 	Result     []byte        `json:"result,omitempty"`
-	Message    string        `json:"message,omitempty"` // why it failed or was stopped
-	Usage      Resources     `json:"usage"`             // observed, lagging
-	Ran        time.Duration `json:"ran"`               // run time so far
+	ResultGone bool          `json:"result_gone,omitempty"` // done, and the worker no longer holds the result
+	Message    string        `json:"message,omitempty"`     // why it failed or was stopped
+	Usage      Resources     `json:"usage"`                 // observed, lagging
+	Ran        time.Duration `json:"ran"`                   // run time so far
 	Throttled  bool          `json:"throttled,omitempty"`
 	Checkpoint []byte        `json:"checkpoint,omitempty"` // state to resume from
 }
