Count the ends of polled jobs in the burn rates

The answer to a submission of batch or gang work is an acceptance, which says nothing about its service level. The end is counted at the first query through the accepting instance that shows it.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -63,13 +63,14 @@
 type server struct {
 	cfg  Config
 	open chan struct{}
+	ends *ends
 }
 
 // New returns a server without an address. It is shut down with Shutdown, and
 // only after the instance has drained, since Shutdown waits for requests in
 // progress but refuses new ones.
 func New(cfg Config) *http.Server {
-	s := &server{cfg: cfg, open: make(chan struct{}, cfg.Limits.MaxOpen)}
+	s := &server{cfg: cfg, open: make(chan struct{}, cfg.Limits.MaxOpen), ends: newEnds()}
 	return &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: cfg.Limits.HeaderTimeout,
--- a/internal/api/work.go
+++ b/internal/api/work.go
@@ -103,9 +103,7 @@
 	if !ok {
 		return
 	}
-	if text := s.cfg.Instance.Text(); s.cfg.Burn != nil && text != nil {
-		s.cfg.Burn.Answered(text.Parsed, sub.Service, a, time.Since(start))
-	}
+	s.count(sub, a, start)
 	if a.Job != "" {
 		w.Header().Set("Location", wire.PathJobs+"/"+url.PathEscape(string(a.Job)))
 	}
@@ -132,6 +130,7 @@
 		return
 	}
 	if a, ok := s.call(w, r, core.Call{Kind: kind, Job: id, Wait: wait}, wait); ok {
+		s.countEnd(id, a)
 		answer(w, a)
 	}
 }
