--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 			jobCommand(),
 			statusCommand(),
 			burnCommand(),
+			loadCommand(),
 			versionCommand(),
 		},
 	}
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,99 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/load"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "load",
+		Usage:     "send the load of a profile and report what callers saw; the workers must be stand-ins",
+		ArgsUsage: "PROFILE",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "server", Usage: "base `URL` of an instance; may be given several times", Value: []string{defaultServer}},
+			&cli.StringFlag{Name: "result", Usage: "`FILE` that takes the result as JSON"},
+			&cli.StringFlag{Name: "page", Usage: "`FILE` that takes the result as an HTML page"},
+			&cli.Int64Flag{Name: "seed", Usage: "in place of the profile's"},
+			outputFlag(),
+		},
+		Action: runLoad,
+	}
+}
+
+func runLoad(ctx context.Context, cmd *cli.Command) error {
+	name, err := oneArgument(cmd, "profile")
+	if err != nil {
+		return err
+	}
+	p, err := load.Load(name)
+	if err != nil {
+		return err
+	}
+	if cmd.IsSet("seed") {
+		p.Seed = cmd.Int64("seed")
+	}
+	r, err := load.NewRunner(p, cmd.StringSlice("server"))
+	if err != nil {
+		return err
+	}
+	res := r.Run(ctx)
+	if err := writeFile(cmd.String("result"), func(w io.Writer) error { return json.NewEncoder(w).Encode(res) }); err != nil {
+		return err
+	}
+	if err := writeFile(cmd.String("page"), res.WritePage); err != nil {
+		return err
+	}
+	return show(cmd, res, func(w io.Writer) { writeLoad(w, res) })
+}
+
+// writeFile creates a file with what write writes. Without a name it does
+// nothing.
+func writeFile(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return &FileError{Cause: err}
+	}
+	if err := write(f); err != nil {
+		_ = f.Close()
+		return &FileError{Cause: err}
+	}
+	if err := f.Close(); err != nil {
+		return &FileError{Cause: err}
+	}
+	return nil
+}
+
+// writeLoad writes the tables of a result.
+func writeLoad(out io.Writer, res *load.Result) {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "WORK\tPLANNED\tDROPPED\tUNANSWERED\tIN TIME\tLATE\tP50 MS\tP99 MS\tP99.9 MS\tMAX MS\tWAIT P50\tWAIT P99\tOUTCOMES\tCODES")
+	for _, r := range res.Rows {
+		name := r.Service + " " + r.Operation
+		if r.Straggler {
+			name += " (stragglers)"
+		}
+		if r.Queued {
+			name += " (queued first)"
+		}
+		l := r.Latency
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.3f%%\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%v\t%v\n", name, r.Planned, r.Dropped, r.Unanswered,
+			100*r.Share(), r.Late, l.P50, l.P99, l.P999, l.Max, r.Wait.P50, r.Wait.P99, r.Outcomes, r.Codes)
+	}
+	fmt.Fprintln(w, "\nCLASS\tPLACEMENTS\tP50 MS\tP90 MS\tP99 MS\tP99.9 MS\tMAX MS")
+	for class, q := range res.Waits {
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n", class, q.Count, q.P50, q.P90, q.P99, q.P999, q.Max)
+	}
+	_ = w.Flush()
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -127,6 +127,26 @@
 	return b, err
 }
 
+// Metrics returns the metrics of the answering instance in the Prometheus text
+// format.
+func (c *Client) Metrics(ctx context.Context) ([]byte, error) {
+	const path = "/metrics"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return nil, &TransportError{Op: path, NotSent: true, Cause: err}
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, &TransportError{Op: path, Cause: err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil || res.StatusCode != http.StatusOK {
+		return nil, &BadAnswerError{Op: path, Status: res.StatusCode, Cause: err}
+	}
+	return data, nil
+}
+
 // get reads an answer that is given with status 200 only.
 func (c *Client) get(ctx context.Context, path string, v any) error {
 	var raw json.RawMessage
