--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -40,6 +40,7 @@
 			&cli.StringFlag{Name: "http", Usage: "standalone: `IP:port` of the API", Value: defaultHTTP},
 			&cli.BoolFlag{Name: "demo-exit", Usage: "standalone: stop after the sample jobs"},
 			&cli.Uint64Flag{Name: "seed", Usage: "standalone: of random choices", Value: 1},
+			&cli.BoolFlag{Name: "baseline", Hidden: true}, // see core.Config
 			&cli.StringFlag{Name: "record", Usage: "`FILE` that takes every event, for replay"},
 		},
 		Action: runServe,
@@ -63,6 +64,7 @@
 		return err
 	}
 	cfg.Log, cfg.Record = cmd.Root().ErrWriter, record
+	cfg.Core.Baseline = cmd.Bool("baseline")
 	in, err := instance.New(cfg)
 	if err != nil {
 		return err
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -84,6 +84,7 @@
 	f.sending = true
 	c.commit.lastSent = c.now
 	c.count("appends", "", 1)
+	c.count("append_bytes", "", len(f.payload))
 	c.emit(Effect{Append: &Append{Stream: c.streamName(), Batch: f.batch.ID, Payload: f.payload}})
 }
 
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -13,6 +13,10 @@
 	Seeds  map[model.DataCentre][]string `json:"seeds"` // peer addresses to try before the VM list is known
 	Timing Timing                        `json:"timing"`
 	Limits Limits                        `json:"limits"`
+	// Baseline exists for comparisons only: first fit, one first-come queue over
+	// all classes, no headroom, no preemption and no early refusal. Operators
+	// have no setting for it.
+	Baseline bool `json:"baseline,omitempty"`
 }
 
 // Timing holds every duration that the reducer uses.
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -71,7 +71,7 @@
 // takeOver builds the owner's state from the folded log. Tasks start only
 // after the wait; workers are fenced and asked for reports at once.
 func (c *Core) takeOver(epoch uint64) {
-	c.own = newOwner(epoch, c.now)
+	c.own = newOwner(epoch, c.now, c.cfg.Baseline)
 	c.nextBeat = c.now // an owner beats more often
 	c.count("takeovers", "", 1)
 	if c.text != nil {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -53,11 +53,13 @@
 	snapshot     *snapshotWriter
 }
 
-func newOwner(epoch uint64, now model.Time) *owner {
+func newOwner(epoch uint64, now model.Time, baseline bool) *owner {
+	policy := queue.DefaultConfig()
+	policy.FirstCome = baseline
 	return &owner{
 		epoch: epoch, since: now,
 		cache:    placement.NewCache(),
-		queue:    queue.New(queue.DefaultConfig()),
+		queue:    queue.New(policy),
 		workers:  make(map[model.WorkerName]*workerState),
 		tasks:    make(map[model.TaskID]*task),
 		jobTasks: make(map[model.JobID]map[model.TaskID]*task),
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -50,6 +50,9 @@
 	w, denial := c.own.cache.Place(r)
 	if denial != "" {
 		c.count("placement_denials", string(denial), 1)
+		if c.cfg.Baseline {
+			return baselineVerdict(denial)
+		}
 		if it.Class == model.ClassInteractive || it.Class == model.ClassService {
 			c.preempt(r)
 		}
@@ -59,6 +62,16 @@
 	return queue.Placed
 }
 
+// baselineVerdict holds up the whole queue behind work that has no room now, as
+// one first-come queue does. Other denials may last for long and stop only
+// work of the same kind.
+func baselineVerdict(d placement.Denial) queue.Verdict {
+	if d == placement.DenialNoFitNow {
+		return queue.Stop
+	}
+	return queue.Blocked
+}
+
 // tryProbe places an idempotent task on a quarantined worker that is due for a
 // probe. It reports whether it did.
 func (c *Core) tryProbe(t *task, it *queue.Item) bool {
@@ -83,6 +96,7 @@
 	r := placement.Request{
 		Task: model.NewTaskID(j.id, t.index, 0), Service: j.svc.Name, Class: j.svc.Class,
 		Team: j.svc.Team, Need: j.need, Avoid: t.avoid, Reserve: reserve,
+		FirstFit: c.cfg.Baseline,
 	}
 	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService {
 		r.Reserve = model.Resources{}
@@ -108,6 +122,9 @@
 	ws, denial := c.own.cache.PlaceGang(rs)
 	if denial != "" {
 		c.count("placement_denials", string(denial), 1)
+		if c.cfg.Baseline {
+			return baselineVerdict(denial)
+		}
 		return queue.Blocked
 	}
 	for i, g := range tasks {
--- /dev/null
+++ b/internal/httpjson/traffic.go
@@ -0,0 +1,64 @@
+package httpjson
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// Traffic counts the calls of clients and the bytes on their connections,
+// headers included.
+type Traffic struct {
+	Calls    atomic.Uint64
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+// NewCountingClient is NewClient with counts.
+func NewCountingClient(maxConnsPerHost int, t *Traffic) *http.Client {
+	c := NewClient(maxConnsPerHost)
+	transport := c.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, traffic: t}, nil
+	}
+	c.Transport = &countedCalls{next: transport, traffic: t}
+	return c
+}
+
+// countedCalls counts calls, also those that fail.
+type countedCalls struct {
+	next    http.RoundTripper
+	traffic *Traffic
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *countedCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.traffic.Calls.Add(1)
+	return c.next.RoundTrip(r)
+}
+
+// countedConn counts the bytes of one connection.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent.Add(uint64(n))
+	return n, err
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 	"github.com/gentianpick/gentianpick/internal/burn"
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/driver"
+	"github.com/gentianpick/gentianpick/internal/httpjson"
 	"github.com/gentianpick/gentianpick/internal/message"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/peer"
@@ -92,11 +93,14 @@
 		Self: cfg.Core.Self, Listener: peerLn,
 		Handler: func(env message.Envelope) bool { return in.Driver.Message(env) },
 	})
-	workers := worker.NewClient(workerConns)
+	var toWorkers, toPlatform httpjson.Traffic
+	in.tel.Calls("worker", &toWorkers)
+	in.tel.Calls("platform", &toPlatform)
+	workers := worker.NewClient(workerConns, &toWorkers)
 	in.Driver, err = driver.New(driver.Config{
 		Core:  cfg.Core,
 		Parse: servicetext.Parse,
-		Platform: platform.NewHTTP(cfg.Platform, platform.NewClient(platformConns),
+		Platform: platform.NewHTTP(cfg.Platform, platform.NewClient(platformConns, &toPlatform),
 			platform.WithDataCentre(cfg.Core.Self.DataCentre)),
 		Worker: func(address string) worker.Worker { return worker.NewHTTP(address, workers) },
 		Peers:  in.peers,
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/gentianpick/gentianpick/internal/model"
 )
@@ -34,9 +35,13 @@
 	case !leaves(c.free, need, r.Reserve):
 		return -1, DenialNoFitNow
 	}
-	racks := c.penalise(r)
-	at := c.scan(need, racks)
-	clear(c.penalty)
+	at := -1
+	if r.FirstFit {
+		at = slices.IndexFunc(c.rows, func(w row) bool { return !w.blocked && need.Fits(w.free) })
+	} else {
+		at = c.scan(need, c.penalise(r))
+		clear(c.penalty)
+	}
 	if at < 0 {
 		return -1, DenialNoFitNow
 	}
--- a/internal/placement/types.go
+++ b/internal/placement/types.go
@@ -29,6 +29,9 @@
 	// holds only for components that the request needs itself, and is zero for
 	// interactive work.
 	Reserve model.Resources
+	// FirstFit takes the first worker by name that fits. It exists for
+	// comparisons with the choice by rank.
+	FirstFit bool
 }
 
 // Denial says why a request was not placed. The values are stable.
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -63,9 +63,12 @@
 	return h
 }
 
-// NewClient returns a client for NewHTTP with at most maxConns connections.
-// An instance needs one for each stream's long poll and a few for the rest.
-func NewClient(maxConns int) *http.Client { return httpjson.NewClient(maxConns) }
+// NewClient returns a client for NewHTTP with at most maxConns connections that
+// counts its traffic. An instance needs one connection for each stream's long
+// poll and a few for the rest.
+func NewClient(maxConns int, t *httpjson.Traffic) *http.Client {
+	return httpjson.NewCountingClient(maxConns, t)
+}
 
 // Append implements Platform. A 4xx response and a request that was never sent
 // are a RefusedError, except for 408, which a proxy may send after it passed
--- a/internal/queue/config.go
+++ b/internal/queue/config.go
@@ -12,6 +12,10 @@
 	BatchHorizon    time.Duration // deadline assumed for work that names none
 	HeadroomMargin  float64       // headroom above the highest recent demand, as a part of it
 	HeadroomMemory  time.Duration // time in which the remembered demand falls to 37%
+	// FirstCome exists for comparisons: one queue over all classes in the order
+	// of arrival, without a share of stragglers, headroom, raised jobs or a
+	// predicted wait.
+	FirstCome bool
 }
 
 // DefaultConfig returns the parameters used where an operator sets none.
--- a/internal/queue/demand.go
+++ b/internal/queue/demand.go
@@ -48,6 +48,9 @@
 func (q *Queue) Headroom(now model.Time) model.Resources {
 	q.demand.advance(q, now)
 	q.demand.raise(q)
+	if q.cfg.FirstCome {
+		return model.Resources{}
+	}
 	margin := int64(q.cfg.HeadroomMargin * milli)
 	p := q.demand.peak
 	for _, c := range [...]*int64{&p.MilliCPU, &p.MemoryMB, &p.Accelerators, &p.Slots, &p.Connections} {
@@ -95,6 +98,9 @@
 // for the ends that are expected of running tasks other than stragglers. The
 // result is zero without evidence for a wait.
 func (q *Queue) PredictedWait(it *Item, now model.Time, free model.Resources) time.Duration {
+	if q.cfg.FirstCome {
+		return 0
+	}
 	q.running.promote(q, now)
 	ahead := int64(0)
 	own := rank(&entry{it: it, deadline: it.Deadline}, q.stats.assumed(it.Service, it.Operation, it.Class))
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -57,6 +57,7 @@
 	stats   *stats
 	running running
 	demand  demand
+	passes  [][]model.Class // classes that one pass takes together, in order
 }
 
 // flowKey says which items share a flow.
@@ -73,6 +74,8 @@
 	seq  uint64 // creation, the last tie-break between flows
 	op   *op    // see opOf
 	opAt uint64
+
+	firstCome bool // see Config
 	// Set at the start of each pass.
 	assumed   time.Duration // run time to plan with
 	straggler bool          // expected to be a straggler, and not raised
@@ -133,6 +136,12 @@
 		running: newRunning(),
 	}
 	q.deadlines.less = earlier
+	for _, class := range classOrder {
+		q.passes = append(q.passes, []model.Class{class})
+	}
+	if cfg.FirstCome {
+		q.passes = [][]model.Class{classOrder[:]}
+	}
 	q.pass.less = before
 	q.stats.changes = 1 // unlike that of a flow that has looked for nothing yet
 	return q
@@ -149,6 +158,11 @@
 	return x.seq < y.seq
 }
 
+// arrivedEarlier orders entries by arrival alone.
+func arrivedEarlier(x, y *entry) bool {
+	return x.it.Enqueued < y.it.Enqueued || x.it.Enqueued == y.it.Enqueued && x.seq < y.seq
+}
+
 // Push adds an item. An item whose task waits already is ignored.
 func (q *Queue) Push(it *Item) {
 	if q.items[it.Task] != nil {
@@ -204,6 +218,9 @@
 		q.seq++
 		f = &flow{key: k, seq: q.seq}
 		f.less = earlier
+		if f.firstCome = q.cfg.FirstCome; f.firstCome {
+			f.less = arrivedEarlier
+		}
 		q.flows[k] = f
 		q.order[k.class] = append(q.order[k.class], f)
 	}
@@ -274,7 +291,7 @@
 // or ends that. Its cost is proportional to the job's waiting items. A raised
 // job is remembered until that is ended.
 func (q *Queue) Raise(job model.JobID, on bool) {
-	if q.raised[job] == on {
+	if q.raised[job] == on || q.cfg.FirstCome {
 		return
 	}
 	if on {
--- a/internal/queue/schedule.go
+++ b/internal/queue/schedule.go
@@ -33,8 +33,8 @@
 func (q *Queue) Schedule(now model.Time, try func(*Item) Verdict) int {
 	q.running.promote(q, now)
 	placed, pending := 0, int64(0)
-	for _, class := range classOrder {
-		pass := q.candidates(class)
+	for _, classes := range q.passes {
+		pass := q.candidates(classes)
 		for len(pass.a) > 0 {
 			c := pass.a[0]
 			head := c.f.head()
@@ -72,12 +72,21 @@
 	return placed
 }
 
-// candidates returns the flows of a class that hold items, as a heap, and
+// candidates returns the flows of classes that hold items, as a heap, and
 // forgets the empty ones.
-func (q *Queue) candidates(class model.Class) *heap[candidate] {
-	flows, limit := q.order[class], q.stats.limit(class)
+func (q *Queue) candidates(classes []model.Class) *heap[candidate] {
 	h := &q.pass
 	h.a = h.a[:0]
+	for _, class := range classes {
+		q.addCandidates(h, class)
+	}
+	h.init()
+	return h
+}
+
+// addCandidates adds the flows of one class.
+func (q *Queue) addCandidates(h *heap[candidate], class model.Class) {
+	flows, limit := q.order[class], q.stats.limit(class)
 	kept := flows[:0]
 	for _, f := range flows {
 		if f.live == 0 {
@@ -86,7 +95,7 @@
 		}
 		kept = append(kept, f)
 		f.assumed = q.stats.assumedOf(q.opOf(f), class)
-		f.straggler = !f.key.raised && limit > 0 && f.assumed > limit
+		f.straggler = !f.firstCome && !f.key.raised && limit > 0 && f.assumed > limit
 		c := candidate{f: f}
 		if c.refresh() {
 			h.a = append(h.a, c)
@@ -94,8 +103,6 @@
 	}
 	clear(flows[len(kept):])
 	q.order[class] = kept
-	h.init()
-	return h
 }
 
 // refresh reads the head of a candidate's flow again and reports whether there
@@ -105,6 +112,10 @@
 	if head == nil {
 		return false
 	}
+	if c.f.firstCome {
+		c.rank = int64(head.it.Enqueued)
+		return true
+	}
 	c.rank = min(rank(head, c.f.assumed), raisedBefore-1)
 	if c.f.key.raised {
 		c.rank -= raisedBefore
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -6,12 +6,14 @@
 	"io"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/driver"
+	"github.com/gentianpick/gentianpick/internal/httpjson"
 	"github.com/gentianpick/gentianpick/internal/peer"
 )
 
@@ -133,6 +135,16 @@
 	}
 }
 
+// Calls adds the counts of an adapter's HTTP client.
+func (t *Telemetry) Calls(adapter string, traffic *httpjson.Traffic) {
+	for _, k := range [...]struct {
+		name  string
+		value *atomic.Uint64
+	}{{"calls", &traffic.Calls}, {"sent_bytes", &traffic.Sent}, {"received_bytes", &traffic.Received}} {
+		t.set.NewGauge(prefix+adapter+"_"+k.name+"_total", func() float64 { return float64(k.value.Load()) })
+	}
+}
+
 // Write writes every metric and those of the process in the Prometheus text
 // format.
 func (t *Telemetry) Write(w io.Writer) {
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -43,8 +43,10 @@
 }
 
 // NewClient returns a client for NewHTTP. It opens at most maxConnsPerHost
-// connections to a worker and never sends a request twice.
-func NewClient(maxConnsPerHost int) *http.Client { return httpjson.NewClient(maxConnsPerHost) }
+// connections to a worker, never sends a request twice, and counts its traffic.
+func NewClient(maxConnsPerHost int, t *httpjson.Traffic) *http.Client {
+	return httpjson.NewCountingClient(maxConnsPerHost, t)
+}
 
 // Watch implements Worker.
 func (h *HTTP) Watch(ctx context.Context, req WatchRequest) (model.Report, error) {
