--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -40,7 +40,7 @@
 	}
 	for i := range p.Jobs {
 		at := jsonc.Index("$.jobs", i)
-		c.work(at, &p.Jobs[i].Work)
+		c.work(at, &p.Jobs[i])
 		c.count(at+".count", p.Jobs[i].Count, 1, maxArrivals)
 	}
 	for i, w := range p.Waves {
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -34,7 +34,7 @@
 	pl := &planner{rng: rand.New(rand.NewPCG(uint64(p.Seed), 3))}
 	for i := range p.Jobs {
 		for range p.Jobs[i].Count {
-			jobs = append(jobs, pl.draw(&p.Jobs[i].Work, 0))
+			jobs = append(jobs, pl.draw(&p.Jobs[i], 0))
 		}
 	}
 	weight := 0.0
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -37,7 +37,7 @@
 	Warmup      time.Duration `json:"warmup"`       // arrivals of this first part are sent but not reported
 	Phases      []Phase       `json:"phases"`
 	Mix         []Work        `json:"mix"`  // what arrives during the phases
-	Jobs        []Batch       `json:"jobs"` // what is queued before the first phase
+	Jobs        []Work        `json:"jobs"` // what is queued before the first phase
 	Waves       []Wave        `json:"cancel_waves"`
 }
 
@@ -53,7 +53,8 @@
 type Work struct {
 	Service    string           `json:"service"`
 	Operation  string           `json:"operation"`
-	Weight     float64          `json:"weight"` // share of the mix; not used for queued jobs
+	Weight     float64          `json:"weight"` // share of the mix
+	Count      int              `json:"count"`  // of queued jobs
 	Run        Distribution     `json:"run"`
 	Stragglers Stragglers       `json:"stragglers"`
 	Usage      Usage            `json:"usage"`
@@ -64,12 +65,6 @@
 	Tasks      int              `json:"tasks"`       // of a job
 }
 
-// Batch is a number of like jobs that are queued before the first phase.
-type Batch struct {
-	Work
-	Count int `json:"count"`
-}
-
 // Wave cancels a part of the queued jobs at once. The time counts from the
 // first phase's start.
 type Wave struct {
