--- a/samples/load/run.sh
+++ b/samples/load/run.sh
@@ -8,7 +8,8 @@
 # PORT is the first of 400 ports, DC the data centre, which becomes the only one
 # of the text, SHAPE the workers' shape, TASKS the number of instances that
 # replaces @TASKS@ in the text, SETTLE the pause in seconds between the text's
-# publication and the load. OUT takes the result, the page
+# publication and the load, PUBLISHES the number of further versions of the text
+# that are published every 2 s during the load. OUT takes the result, the page
 # and the processes' logs. The last lines give each process's CPU seconds (user
 # and system, from /proc) during the load and its resident memory.
 set -euo pipefail
@@ -54,7 +55,14 @@
 before=()
 for p in "${pids[@]}"; do before+=("$(cpu "$p")"); done
 from=$(date +%s.%N)
+for i in $(seq "${PUBLISHES:-0}"); do
+  sleep 2
+  echo "// version $i" >>"$out/text.jsonc"
+  "$binary" publish --server "http://127.0.0.1:$((port + 11))" "$out/text.jsonc" || true
+done >>"$out/publish.log" 2>&1 &
+publisher=$!
 "$binary" load "${servers[@]}" --result "$out/result.json" --page "$out/page.html" "$profile"
+wait "$publisher"
 took=$(awk "BEGIN {print $(date +%s.%N) - $from}")
 for i in "${!pids[@]}"; do
   rss=$(awk '/VmRSS/ {print $2 / 1024}' "/proc/${pids[$i]}/status")
