--- a/internal/httpjson/traffic.go
+++ b/internal/httpjson/traffic.go
@@ -15,9 +15,9 @@
 	Received atomic.Uint64
 }
 
-// NewCountingClient is NewClient with counts.
-func NewCountingClient(maxConnsPerHost int, t *Traffic) *http.Client {
-	c := NewClient(maxConnsPerHost)
+// Counted makes a client of NewClient that has not been used yet count its
+// traffic, and returns it.
+func Counted(c *http.Client, t *Traffic) *http.Client {
 	transport := c.Transport.(*http.Transport)
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
