Retry an idempotent request while its start is in doubt

Cause: an interactive start whose answer was lost waited for its worker's word; with a silent worker the caller got unknown at the deadline although the work could have run elsewhere. Ruled out: new work going to silent workers later on; their slots were full of starts in doubt after half a second. Change: such a request is started once more on another worker, within the retry budget; the first whole answer counts and the other attempt is stopped. A worker that did not answer a start gets no new task until it answers a query or watch.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -99,8 +99,9 @@
 	avoid    []model.WorkerName
 	resume   []byte
 
-	stopping  bool
-	preempted bool
+	superseded bool // another attempt was started beside this one, which is in doubt
+	stopping   bool
+	preempted  bool
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
@@ -256,7 +257,7 @@
 	case !j.everStarted:
 		c.endJob(j, notRun(j.id, model.CodeDeadline, "the deadline passed before the work could start"))
 		return *j.answer
-	case j.active == 0 && !j.keyed:
+	case j.active == 0 && !j.keyed && len(c.own.jobTasks[j.id]) == 0:
 		c.endJob(j, model.Answer{
 			Outcome: model.OutcomeFailed, Code: model.CodeDeadline,
 			Message: "every attempt failed and the deadline passed",
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -273,7 +273,9 @@
 	}
 	o.cache.Release(t.id)
 	o.queue.Ended(t.id)
-	t.j.mark(t.index, taskWaiting)
+	if !t.superseded {
+		t.j.mark(t.index, taskWaiting)
+	}
 	c.dirty = true
 }
 
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -26,6 +26,7 @@
 		c.refused(t, ev.Result.Refusal)
 	case ev.Delivery == DeliveryNotSent:
 		c.count("starts_not_sent", "", 1)
+		c.suspect(t.worker)
 		c.notStarted(t)
 	default:
 		c.inDoubt(t)
@@ -160,10 +161,47 @@
 	c.count("starts_in_doubt", string(t.j.svc.Class), 1)
 	t.phase = phaseDoubt
 	c.own.cache.MarkDoubt(t.id)
+	c.suspect(t.worker)
 	if t.j.keyed {
 		c.own.doubts++
 	}
 	c.own.queries.add(c.now, t.id)
+	c.retryInDoubt(t)
+}
+
+// retryInDoubt starts an interactive idempotent task a second time while the
+// first start is in doubt, within the retry budget. A caller waits, and a
+// silent worker would hold the request until its deadline. The first whole
+// answer counts.
+func (c *Core) retryInDoubt(t *task) {
+	j := t.j
+	if j.keyed || j.svc.Class != model.ClassInteractive || j.answer != nil || j.cancelled || c.now >= j.deadline {
+		return
+	}
+	if t.attempts >= c.attemptLimit(j) || !c.budget(j.svc.Name).Retry(c.now) {
+		c.count("retries_denied", j.svc.Name, 1)
+		return
+	}
+	c.count("retries", string(j.svc.Class), 1)
+	t.superseded = true
+	c.again(t, 0)
+}
+
+// supersededEnded handles the end of an attempt beside which another was
+// started.
+func (c *Core) supersededEnded(t *task, st model.TaskStatus) {
+	if st.State == model.TaskDone && !st.ResultGone && t.j.answer == nil {
+		c.taskDone(t, st.Result)
+		return
+	}
+	c.forgetTask(t.worker, t.id)
+}
+
+func (c *Core) attemptLimit(j *job) int {
+	if j.svc.MaxAttempts > 0 {
+		return j.svc.MaxAttempts
+	}
+	return c.cfg.Limits.TaskAttempts
 }
 
 // tickDoubts asks workers about starts in doubt.
@@ -201,6 +239,10 @@
 		c.lease.SeenEpoch(c.now, ev.StaleEpoch)
 		return
 	}
+	if w := c.own.workers[ev.Worker]; w != nil && w.suspect && ev.Result != nil {
+		w.suspect = false // the start was lost on one connection only
+		c.setFlags(w)
+	}
 	t := c.own.tasks[ev.Task]
 	if t == nil || t.phase != phaseDoubt || ev.Result == nil {
 		return
@@ -237,6 +279,10 @@
 		c.endJob(t.j, a)
 		return
 	}
+	if t.superseded {
+		c.untrack(t)
+		return
+	}
 	c.notStarted(t)
 }
 
@@ -251,6 +297,9 @@
 		return
 	}
 	c.untrack(t)
+	if t.superseded {
+		return
+	}
 	c.retryTask(t, why)
 }
 
@@ -288,6 +337,8 @@
 		return
 	}
 	switch {
+	case t.superseded:
+		c.supersededEnded(t, st)
 	case ok && st.ResultGone:
 		c.retryTask(t, "the result is no longer held")
 	case ok:
@@ -315,6 +366,7 @@
 	if !j.durable {
 		c.forgetTask(t.worker, t.id)
 		c.maybeEndJob(j)
+		c.stopAttempts(j)
 		return
 	}
 	// The worker keeps the result until the record was read back.
@@ -325,6 +377,13 @@
 	c.maybeEndJob(j)
 }
 
+// stopAttempts stops the other attempts at a request that has its answer.
+func (c *Core) stopAttempts(j *job) {
+	for _, id := range sortedKeys(c.own.jobTasks[j.id]) {
+		c.stopTask(c.own.jobTasks[j.id][id])
+	}
+}
+
 // finishedTask is a finished task whose result its worker still keeps.
 type finishedTask struct {
 	worker model.WorkerName
@@ -356,10 +415,7 @@
 	if j.svc.Class == model.ClassService {
 		return
 	}
-	limit := j.svc.MaxAttempts
-	if limit <= 0 {
-		limit = c.cfg.Limits.TaskAttempts
-	}
+	limit := c.attemptLimit(j)
 	switch {
 	case j.answer != nil || j.cancelled:
 		c.maybeEndJob(j)
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -28,6 +28,7 @@
 	watching      bool
 	nextTry       model.Time
 	capacity      model.Resources
+	suspect       bool // did not answer its last start
 	guarded       bool // refuses stale epochs and late starts by itself
 	clearing      bool // a watch for that report was sent
 	cleared       bool // no start of a former owner can arrive any more
@@ -159,10 +160,23 @@
 		return
 	}
 	c.own.cache.SetFlags(w.name, placement.Flags{
-		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reach || !w.cleared,
+		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reach || !w.cleared || w.suspect,
 	})
 }
 
+// suspect keeps new tasks off a worker that did not answer a start, until it
+// answers a query or a watch. A watch alone would show its silence only after
+// seconds, in which more starts would be lost.
+func (c *Core) suspect(name model.WorkerName) {
+	w := c.own.workers[name]
+	if w == nil || w.suspect {
+		return
+	}
+	w.suspect = true
+	c.count("workers_suspected", "", 1)
+	c.setFlags(w)
+}
+
 // clearedBy reports whether a full report shows everything that former owners
 // have started. A guarded worker refuses their starts since it saw the new
 // epoch. For another one the report must have been asked for after the last
@@ -247,6 +261,7 @@
 	}
 	c.setLeaving(w, r.Leaving || w.listedLeaving)
 	w.capacity = r.Capacity
+	w.suspect = false
 	first := !w.reported
 	w.reported = w.reported || r.Full
 	w.guarded = r.Guarded
