Spread the requests of an interactive service over workers

Cause: best fit sent all requests of a service to one worker until it was full, so a worker that went silent took every request of the next half second. Change: for interactive work the worker with the fewest tasks of the service comes first, then best fit. A task in doubt stays counted, so a silent worker gets no more than the others have. Retries that the budget denied are tried again with each query.

--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -213,6 +213,9 @@
 			continue
 		}
 		o.queries.add(c.now.Add(c.jitter(queryInterval, 0.8, 1.2)), id)
+		if !t.superseded {
+			c.retryInDoubt(t) // the budget may have room by now
+		}
 		w := o.workers[t.worker]
 		if w == nil {
 			c.orphaned(t)
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -11,7 +11,8 @@
 //
 // Among the workers that fit, it prefers in this order: one that r does not
 // avoid; one without accelerators if r needs none; for class service, the rack
-// and then the worker with the fewest tasks of the service; the one that has
+// and then the worker with the fewest tasks of the service; for class
+// interactive, the worker with the fewest tasks of the service; the one that has
 // the least left, see rank; the first by name.
 func (c *Cache) Place(r Request) (model.WorkerName, Denial) {
 	at, d := c.place(r)
@@ -67,7 +68,14 @@
 		}
 	}
 	s := c.services[r.Service]
-	if r.Class != model.ClassService || s == nil {
+	if s == nil {
+		return nil
+	}
+	if r.Class == model.ClassInteractive {
+		c.spread(s)
+		return nil
+	}
+	if r.Class != model.ClassService {
 		return nil
 	}
 	racks := make([]uint64, len(c.racks))
@@ -83,6 +91,17 @@
 	return racks
 }
 
+// spread penalises workers by the tasks of an interactive service that they
+// hold. A worker that has gone silent keeps its tasks in doubt and so gets no
+// more of the service than the others.
+func (c *Cache) spread(s *service) {
+	for w, n := range s.byWorker {
+		if w.pos >= 0 {
+			c.penalty[w.pos] |= uint64(min(n, maxSpread)) << workerSpreadBits
+		}
+	}
+}
+
 // scan returns the row with the lowest rank that fits need, or -1.
 func (c *Cache) scan(need model.Resources, racks []uint64) int {
 	best, at := uint64(math.MaxUint64), -1
--- a/internal/placement/tasks.go
+++ b/internal/placement/tasks.go
@@ -77,7 +77,7 @@
 	s := c.services[u.Service]
 	if s.tasks--; s.tasks == 0 {
 		delete(c.services, u.Service)
-	} else if u.Class == model.ClassService {
+	} else if spreads(u.Class) {
 		if s.byWorker[w]--; s.byWorker[w] == 0 {
 			delete(s.byWorker, w)
 		}
@@ -101,12 +101,17 @@
 		c.services[u.Service] = s
 	}
 	s.tasks++
-	if u.Class == model.ClassService {
+	if spreads(u.Class) {
 		s.byWorker[w]++
 	}
 	c.charge(u, 1)
 }
 
+// spreads reports whether tasks of a class are spread over workers.
+func spreads(cl model.Class) bool {
+	return cl == model.ClassService || cl == model.ClassInteractive
+}
+
 // charge adds u's use, or takes it off if sign is -1.
 func (c *Cache) charge(u *task, sign int64) {
 	use := u.Use().Scale(sign)
