Compress log payloads

Change: payloads of 512 bytes or more are compressed with zstd if that makes them smaller; a payload that starts with a brace is read as before.

--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -1,5 +1,5 @@
 // Package record defines the records that gentianpick keeps in the platform's
-// log and their encoding.
+// log and their encoding: JSON, compressed with zstd if that saves something.
 //
 // One append carries one Batch. Its entries are folded in order at the
 // batch's offset. A batch whose sequence number was already folded is ignored, so that an
@@ -155,12 +155,19 @@
 // Encode returns the payload of an append.
 func Encode(b Batch) ([]byte, error) {
 	p, err := json.Marshal(b)
-	return p, errors.Wrap(err, "encode batch")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode batch")
+	}
+	return pack(p), nil
 }
 
 // Decode parses the payload of a log record.
 func Decode(p []byte) (Batch, error) {
 	var b Batch
+	p, err := unpack(p)
+	if err != nil {
+		return Batch{}, &DecodeError{Cause: err}
+	}
 	if err := json.Unmarshal(p, &b); err != nil {
 		return Batch{}, &DecodeError{Cause: err}
 	}
