--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianpick/gentianpick/internal/instance"
+	"github.com/gentianpick/gentianpick/internal/settings"
 )
 
 // defaultHTTP is the API's address in standalone mode.
@@ -105,7 +106,19 @@
 	return in.Run(ctx)
 }
 
-// fromSettings returns the configuration that a settings file describes.
+// fromSettings returns the configuration that a settings file describes. Each
+// run is another incarnation.
 func fromSettings(name string) (instance.Config, error) {
-	return instance.Config{}, &UsageError{Reason: fmt.Sprintf("%s: settings are not supported yet", name)}
+	s, err := settings.Load(name)
+	if err != nil {
+		return instance.Config{}, err
+	}
+	return instance.Config{
+		Core:       s.CoreConfig(newIncarnation(), rand.Uint64()),
+		PeerListen: s.PeerListen,
+		HTTPListen: s.HTTPListen,
+		Platform:   s.Platform,
+		HTTP:       instance.HTTPLimits(s.HTTP),
+		LogLevel:   s.LogLevel,
+	}, nil
 }
--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"io"
 
-	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianpick/gentianpick/internal/core"
 	"github.com/gentianpick/gentianpick/internal/instance"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/settings"
 	"github.com/gentianpick/gentianpick/internal/standin"
 )
 
@@ -78,13 +78,14 @@
 	defer f.close()
 	in, err := instance.New(instance.Config{
 		Core: core.Config{
-			Self:   model.Member{Name: "standalone", Incarnation: model.Incarnation(uuid.NewString()), DataCentre: standaloneDC},
+			Self:   model.Member{Name: "standalone", Incarnation: model.Incarnation(newIncarnation()), DataCentre: standaloneDC},
 			Seed:   cmd.Uint64("seed"),
 			Timing: core.DefaultTiming(),
 			Limits: core.DefaultLimits(),
 		},
 		PeerListen: anyPort,
 		HTTPListen: cmd.String("http"),
+		HTTP:       instance.HTTPLimits(settings.DefaultHTTP()),
 		Platform:   "http://" + f.address,
 		Log:        cmd.Root().ErrWriter,
 		Record:     record,
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -68,7 +68,7 @@
 	case j != nil:
 		if f.Submission.Deadline > 0 {
 			w.until = c.now.Add(f.Submission.Deadline)
-			j.attach(w)
+			c.attach(j, w)
 			return
 		}
 		c.reply(w.origin, j.progress())
@@ -100,12 +100,19 @@
 		c.reply(w.origin, notRun(f.Job, code, msg))
 		return
 	}
+	if j.keyed && c.keysLost() {
+		c.reply(w.origin, model.Answer{
+			Outcome: model.OutcomeUnknown, Code: model.CodeHomeSettling,
+			Message: "records of this data centre were lost; the key may have run before",
+		})
+		return
+	}
 	if j.keyed && !c.own.settled {
 		c.own.parked = append(c.own.parked, parked{f: f, until: w.until})
 		return
 	}
 	c.jobs[j.id] = j
-	j.attach(w)
+	c.attach(j, w)
 	c.admitByClass(j, w)
 }
 
@@ -113,6 +120,7 @@
 func (c *Core) admitByClass(j *job, w waiter) {
 	if j.keyed || (j.svc.Class == model.ClassInteractive && w.kind == message.ForwardRequest) {
 		j.deadline = w.until
+		c.budget(j.svc.Name).First(c.now)
 		c.enqueueJob(j)
 		return
 	}
@@ -155,7 +163,7 @@
 			return true
 		}
 		c.completeAdopted(j, f.Submission, hash)
-		j.attach(w)
+		c.attach(j, w)
 	default:
 		return false
 	}
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -56,6 +56,7 @@
 	}
 	c.count("calls", string(ev.Kind), 1)
 	c.calls[cl.id] = cl
+	c.callTimers.add(cl.deadline, cl.id)
 	c.route(cl)
 }
 
@@ -142,7 +143,7 @@
 
 // route hands a call to the owner of its home, directly or by a forward.
 func (c *Core) route(cl *call) {
-	cl.nextSend = c.now.Add(forwardRepeat)
+	c.routeAt(cl, forwardRepeat)
 	if cl.home == c.cfg.Self.DataCentre {
 		c.routeNear(cl)
 		return
@@ -177,7 +178,7 @@
 	if cl.movable && c.moveElsewhere(cl) {
 		return
 	}
-	cl.nextSend = c.now.Add(noOwnerRetry)
+	c.routeAt(cl, noOwnerRetry)
 }
 
 // forward sends a call to an instance. Until the transport says that the
@@ -187,6 +188,7 @@
 	f.ID = c.nextID()
 	cl.message = f.ID
 	cl.open = append(cl.open, f.ID)
+	c.forwards[f.ID] = cl.id
 	c.emit(Effect{Send: &Send{To: to, ID: f.ID, Body: message.Body{Forward: f}}})
 }
 
@@ -203,7 +205,7 @@
 		return
 	}
 	if len(cl.open) > 0 {
-		cl.nextSend = c.now.Add(noOwnerRetry)
+		c.routeAt(cl, noOwnerRetry)
 		return // the deadline answers "unknown"
 	}
 	c.finishCall(cl, cl.refusal(model.CodeHomeUnreachable, "data centre "+string(cl.home)+" can't be reached"))
@@ -234,41 +236,36 @@
 	cl.tried = append(cl.tried, cl.home)
 	cl.home, cl.job = bestDC, c.freshJobID(bestDC)
 	cl.misses = 0
-	cl.nextSend = c.now.Add(forwardRepeat)
+	c.routeAt(cl, forwardRepeat)
 	c.forward(cl, best)
 	return true
 }
 
 // onForwardSent handles the delivery of a forward.
 func (c *Core) onForwardSent(ev *Sent) {
-	for _, id := range sortedKeys(c.calls) {
-		cl := c.calls[id]
-		if !contains(cl.open, ev.ID) {
-			continue
-		}
-		last := cl.message == ev.ID
-		if last {
-			cl.message = ""
-		}
-		if ev.Delivery == DeliveryNotSent && c.forwardsOver(cl, []string{ev.ID}) {
-			return
-		}
-		if !last || cl.refused != nil {
-			return
-		}
-		if ev.Delivery == DeliveryOK {
-			cl.misses = 0
-			return
-		}
-		if ev.Delivery == DeliveryNotSent {
-			cl.misses++
-		}
-		cl.nextSend = c.now.Add(noOwnerRetry)
-		if cl.misses >= unreachableMisses && cl.home != c.cfg.Self.DataCentre {
-			c.unreachable(cl)
-		}
+	cl := c.calls[c.forwards[ev.ID]]
+	delete(c.forwards, ev.ID)
+	if cl == nil {
+		return
+	}
+	if ev.Delivery == DeliveryNotSent && c.forwardsOver(cl, []string{ev.ID}) {
+		return
+	}
+	if cl.message != ev.ID || cl.refused != nil {
+		return
+	}
+	cl.message = ""
+	if ev.Delivery == DeliveryOK {
+		cl.misses = 0
 		return
 	}
+	if ev.Delivery == DeliveryNotSent {
+		cl.misses++
+	}
+	c.routeAt(cl, noOwnerRetry)
+	if cl.misses >= unreachableMisses && cl.home != c.cfg.Self.DataCentre {
+		c.unreachable(cl)
+	}
 }
 
 // forwardsOver notes forwards that did not and will not make anything run. It
@@ -297,7 +294,7 @@
 	switch {
 	case cl.kind == message.ForwardQuery || cl.kind == message.ForwardCancel:
 		if a.Code == model.CodeNoOwner {
-			cl.nextSend = c.now.Add(noOwnerRetry)
+			c.routeAt(cl, noOwnerRetry)
 			return
 		}
 		c.finishCall(cl, a)
@@ -326,23 +323,31 @@
 		return
 	}
 	if transient {
-		cl.nextSend = c.now.Add(noOwnerRetry)
+		c.routeAt(cl, noOwnerRetry)
 		return
 	}
 	if len(cl.open) > 0 {
 		cl.refused = &a
 		cl.nextSend = model.Never
 		cl.deadline = min(cl.deadline, c.now.Add(forwardRepeat))
+		c.callTimers.add(cl.deadline, cl.id)
 		return
 	}
 	c.finishCall(cl, a)
 }
 
+// routeAt sets when a call is routed again.
+func (c *Core) routeAt(cl *call, d time.Duration) {
+	cl.nextSend = c.now.Add(d)
+	c.callTimers.add(cl.nextSend, cl.id)
+}
+
 // tickCalls repeats forwards and answers calls whose deadline has passed.
 func (c *Core) tickCalls() {
-	for _, id := range sortedKeys(c.calls) {
+	for _, id := range c.callTimers.due(c.now) {
 		cl := c.calls[id]
 		switch {
+		case cl == nil:
 		case c.now >= cl.deadline:
 			c.finishCall(cl, c.deadlineAnswer(cl))
 		case c.now >= cl.nextSend:
@@ -379,10 +384,17 @@
 
 // finishCall answers a caller.
 func (c *Core) finishCall(cl *call, a model.Answer) {
-	delete(c.calls, cl.id)
+	c.dropCall(cl)
 	c.answerCaller(cl.id, a)
 }
 
+func (c *Core) dropCall(cl *call) {
+	delete(c.calls, cl.id)
+	for _, id := range cl.open {
+		delete(c.forwards, id)
+	}
+}
+
 func (c *Core) answerCaller(id model.RequestID, a model.Answer) {
 	c.count("answers", string(a.Outcome), 1)
 	c.emit(Effect{Answer: &Answer{Request: id, Answer: a}})
@@ -390,7 +402,11 @@
 
 // onGone drops a call whose caller has left. Work that was accepted or has a
 // key goes on.
-func (c *Core) onGone(ev *Gone) { delete(c.calls, ev.Request) }
+func (c *Core) onGone(ev *Gone) {
+	if cl := c.calls[ev.Request]; cl != nil {
+		c.dropCall(cl)
+	}
+}
 
 // knownDataCentre reports whether the text or the membership names dc.
 func (c *Core) knownDataCentre(dc model.DataCentre) bool {
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -15,6 +15,7 @@
 // is sent only when the intent is stable.
 func (c *Core) makeIntent(t *task, w *workerState) {
 	t.phase = phaseIntent
+	c.own.intents[t.id] = t
 	t.notAfter = c.notAfter(w)
 	in := c.intentOf(t)
 	c.append(record.Entry{Intent: &in}, true)
@@ -98,10 +99,12 @@
 
 // keyedAnswer is the answer that follows from a worker's final word.
 func keyedAnswer(job model.JobID, st model.TaskStatus) model.Answer {
-	switch st.State {
-	case model.TaskDone:
+	switch {
+	case st.ResultGone:
+		return model.Answer{Job: job, Outcome: model.OutcomeUnknown, Code: model.CodeResultLost, Message: "it ran; its result is no longer held"}
+	case st.State == model.TaskDone:
 		return model.Answer{Job: job, Outcome: model.OutcomeDone, Result: st.Result}
-	case model.TaskStopped:
+	case st.State == model.TaskStopped:
 		return model.Answer{Job: job, Outcome: model.OutcomeFailed, Code: model.CodeTaskStopped, Message: st.Message}
 	}
 	return model.Answer{Job: job, Outcome: model.OutcomeFailed, Code: model.CodeTaskFailed, Message: st.Message}
@@ -158,9 +161,9 @@
 	c.track(t)
 	t.phase = phaseDoubt
 	c.own.doubts++
-	t.nextQuery = c.now
+	c.own.queries.add(c.now, t.id)
 	if c.own.workers[in.Worker] != nil {
-		c.own.cache.Promise(in.Worker, t.spec(), c.now)
+		c.own.cache.Observe(t.id, in.Worker, t.spec(), model.Resources{}, c.now)
 		c.own.cache.MarkDoubt(t.id)
 	}
 }
@@ -197,8 +200,8 @@
 // unstableIntents returns the intents that wait for the log.
 func (c *Core) unstableIntents() []record.Intent {
 	var out []record.Intent
-	for _, id := range sortedKeys(c.own.tasks) {
-		t := c.own.tasks[id]
+	for _, id := range sortedKeys(c.own.intents) {
+		t := c.own.intents[id]
 		if t.phase != phaseIntent || t.j.answer != nil || t.j.cancelled {
 			continue
 		}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -22,6 +22,11 @@
 	workers  map[model.WorkerName]*workerState
 	tasks    map[model.TaskID]*task
 	jobTasks map[model.JobID]map[model.TaskID]*task
+	byWorker map[model.WorkerName]map[model.TaskID]*task
+	waiters  timers[model.JobID]    // when a job's waiter has to be answered
+	queries  timers[model.TaskID]   // when a worker has to be asked about a start in doubt
+	intents  map[model.TaskID]*task // whose intent is not stable yet
+	depsDown map[string]bool        // by dependency; valid during one pass over queues or services
 	services map[string]*serviceState
 	stops    []*task // whose stop call must be repeated
 	delayed  []*task // idempotent tasks that wait for their backoff
@@ -34,16 +39,17 @@
 	nextConsult model.Time
 	parked      []parked
 
-	undurable int // submissions whose Accept was not read back
-	holds     map[model.TaskID]map[model.Incarnation]bool
-	nextHold  model.Time
+	preempting int // checkpoints that were ordered and have not ended
+	undurable  int // submissions whose Accept was not read back
+	holds      map[model.TaskID]map[model.Incarnation]bool
+	nextHold   model.Time
 
 	probes       []model.WorkerName // quarantined workers that are due for a probe
+	nextWorkers  model.Time
 	nextServices model.Time
 	nextForecast model.Time
 	nextForget   model.Time
 	forget       map[model.WorkerName][]model.TaskID
-	attempts     int // for task ids that are unique within the epoch
 	snapshot     *snapshotWriter
 }
 
@@ -55,6 +61,8 @@
 		workers:  make(map[model.WorkerName]*workerState),
 		tasks:    make(map[model.TaskID]*task),
 		jobTasks: make(map[model.JobID]map[model.TaskID]*task),
+		byWorker: make(map[model.WorkerName]map[model.TaskID]*task),
+		intents:  make(map[model.TaskID]*task),
 		services: make(map[string]*serviceState),
 		holds:    make(map[model.TaskID]map[model.Incarnation]bool),
 		forget:   make(map[model.WorkerName][]model.TaskID),
@@ -91,16 +99,17 @@
 
 	stopping  bool
 	preempted bool
-	nextQuery model.Time
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
-// that task ids of successive owners differ.
-const attemptShift = 24
+// that task ids of successive owners differ. 32 bits last for years of starts.
+const attemptShift = 32
 
+// nextAttempt returns the number of a new attempt. The count goes on when the
+// same instance takes the lease up again, possibly in the same epoch.
 func (c *Core) nextAttempt() int {
-	c.own.attempts++
-	return int(c.own.epoch)<<attemptShift | c.own.attempts
+	c.attempts++
+	return int(c.own.epoch)<<attemptShift | c.attempts
 }
 
 func (j *job) item(index int, now model.Time) *queue.Item {
@@ -146,7 +155,10 @@
 // tickOwner does the owner's periodic work.
 func (c *Core) tickOwner() {
 	o := c.own
-	c.tickWorkers()
+	if c.now >= o.nextWorkers {
+		o.nextWorkers = c.now.Add(workerInterval)
+		c.tickWorkers()
+	}
 	c.tickWaiters()
 	if !c.acting() {
 		return
@@ -163,7 +175,9 @@
 	if c.now >= o.nextServices {
 		o.nextServices = c.now.Add(serviceInterval)
 		c.reconcileServices()
+		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
+		c.evacuate()
 	}
 	if c.now >= o.nextForecast {
 		o.nextForecast = c.now.Add(forecastInterval)
@@ -174,10 +188,11 @@
 		c.flushForgets()
 	}
 	c.tickSnapshot()
-	c.dirty = true
 }
 
 const (
+	// workerInterval is how often silent workers are looked over.
+	workerInterval = 100 * time.Millisecond
 	// serviceInterval is how often instance counts are compared with the text.
 	serviceInterval = 200 * time.Millisecond
 	// forecastInterval is how often batch deadlines are checked against
@@ -203,8 +218,8 @@
 		})
 	}
 	o.parked = keep
-	for _, id := range sortedKeys(c.jobs) {
-		if j := c.jobs[id]; len(j.waiters) > 0 {
+	for _, id := range o.waiters.due(c.now) {
+		if j := c.jobs[id]; j != nil && len(j.waiters) > 0 {
 			c.expireWaiters(j)
 		}
 	}
@@ -239,6 +254,12 @@
 	case !j.everStarted:
 		c.endJob(j, notRun(j.id, model.CodeDeadline, "the deadline passed before the work could start"))
 		return *j.answer
+	case j.active == 0 && !j.keyed:
+		c.endJob(j, model.Answer{
+			Outcome: model.OutcomeFailed, Code: model.CodeDeadline,
+			Message: "every attempt failed and the deadline passed",
+		})
+		return *j.answer
 	}
 	return model.Answer{
 		Outcome: model.OutcomeUnknown, Code: model.CodeDeadline,
@@ -317,6 +338,9 @@
 	j.answer, j.endedAt = &a, c.now
 	c.count("jobs_ended", string(a.Outcome), 1)
 	c.blame.ForgetJob(j.id)
+	if j.atRisk {
+		c.own.queue.Raise(j.id, false)
+	}
 	if j.durable {
 		c.append(record.Entry{Finish: &record.Finish{Epoch: c.own.epoch, Job: j.id, Answer: a}}, false)
 	}
@@ -329,7 +353,13 @@
 // maybeEndJob ends a job all of whose tasks have ended, or that was cancelled
 // and has nothing running.
 func (c *Core) maybeEndJob(j *job) {
-	if j.answer != nil || j.keyed {
+	if j.answer != nil {
+		return
+	}
+	if j.keyed {
+		if j.cancelled && j.active == 0 && !j.everStarted {
+			c.endJob(j, notRun(j.id, model.CodeCancelled, "cancelled before it started"))
+		}
 		return
 	}
 	switch {
@@ -337,7 +367,7 @@
 		c.endJob(j, model.Answer{Outcome: model.OutcomeDone, Result: j.result()})
 	case j.ended():
 		code := model.CodeTaskFailed
-		if c.blame.JobAtFault(j.id) {
+		if c.atFault(j) {
 			code = model.CodeJobFault
 		}
 		c.endJob(j, model.Answer{Outcome: model.OutcomeFailed, Code: code, Message: string(j.firstFailure())})
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/placement"
 	"github.com/gentianpick/gentianpick/internal/queue"
@@ -11,6 +13,7 @@
 func (c *Core) schedule() {
 	c.dirty = false
 	o := c.own
+	o.depsDown = make(map[string]bool)
 	o.queue.SetSlots(o.cache.Capacity().Slots)
 	reserve := o.queue.Headroom(c.now)
 	n := o.queue.Schedule(c.now, func(it *queue.Item) queue.Verdict {
@@ -35,7 +38,7 @@
 	if j.keyed && (!c.own.settled || c.own.doubts >= c.cfg.Limits.InDoubt) {
 		return queue.Blocked
 	}
-	if c.blame.JobAtFault(j.id) {
+	if c.atFault(j) {
 		c.failTask(t, "the job fails on healthy workers")
 		return queue.Drop
 	}
@@ -107,6 +110,9 @@
 	ws, denial := c.own.cache.PlaceGang(rs)
 	if denial != "" {
 		c.count("placement_denials", string(denial), 1)
+		if denial == placement.DenialNoFitNow && holdForGang(c.now.Sub(it.Enqueued)) {
+			return queue.Stop // batch work, which comes after gangs, waits
+		}
 		return queue.Blocked
 	}
 	for i, g := range tasks {
@@ -115,6 +121,17 @@
 	return queue.Placed
 }
 
+// gangHold is how long a gang waits before batch work is held back for it, and
+// then how long it is held back before it may go on for as long.
+const gangHold = 20 * time.Second
+
+// holdForGang reports whether batch work is held back for a gang that has
+// waited for the given time. Holding back is bounded, so that a gang that needs
+// what never becomes free stops nothing for good.
+func holdForGang(waited time.Duration) bool {
+	return waited%(2*gangHold) >= gangHold
+}
+
 // dependencyDown reports whether a dependency with policy "hold" has no
 // running instance.
 func (c *Core) dependencyDown(svc *model.Service) bool {
@@ -126,7 +143,12 @@
 		if d == nil || d.Class != model.ClassService || !c.runsHere(d) {
 			continue
 		}
-		if c.runningInstances(name) == 0 {
+		down, known := c.own.depsDown[name]
+		if !known {
+			down = c.runningInstances(name) == 0
+			c.own.depsDown[name] = down
+		}
+		if down {
 			return true
 		}
 	}
@@ -136,6 +158,11 @@
 // preempt makes room for urgent work: the fewest and youngest batch tasks on
 // one worker are checkpointed and queued again.
 func (c *Core) preempt(r placement.Request) {
+	o := c.own
+	urgent := o.queue.Waiting(model.ClassInteractive) + o.queue.Waiting(model.ClassService)
+	if o.preempting >= urgent {
+		return // room is being made already
+	}
 	w, victims, ok := c.own.cache.Victims(r, func(u placement.TaskUse) bool {
 		t := c.own.tasks[u.Task]
 		return t != nil && t.phase == phaseRunning && !t.stopping && !t.j.keyed &&
@@ -145,12 +172,18 @@
 	if !ok || ws == nil {
 		return
 	}
-	for _, id := range victims {
+	c.checkpoint(ws, victims)
+}
+
+// checkpoint stops tasks in a way that lets them go on elsewhere.
+func (c *Core) checkpoint(w *workerState, ids []model.TaskID) {
+	for _, id := range ids {
 		t := c.own.tasks[id]
 		t.stopping, t.preempted = true, true
+		c.own.preempting++
 	}
-	c.count("preemptions", "", len(victims))
-	c.control(ws, worker.ActionCheckpoint, victims)
+	c.count("preemptions", "", len(ids))
+	c.control(w, worker.ActionCheckpoint, ids)
 }
 
 // start binds a task to a worker.
@@ -190,6 +223,12 @@
 		o.jobTasks[t.j.id] = m
 	}
 	m[t.id] = t
+	b := o.byWorker[t.worker]
+	if b == nil {
+		b = make(map[model.TaskID]*task)
+		o.byWorker[t.worker] = b
+	}
+	b[t.id] = t
 	t.j.mark(t.index, taskActive)
 }
 
@@ -202,8 +241,13 @@
 	if t.phase == phaseDoubt && t.j.keyed {
 		o.doubts--
 	}
+	if t.preempted {
+		o.preempting--
+	}
 	delete(o.tasks, t.id)
 	delete(o.holds, t.id)
+	delete(o.intents, t.id)
+	delete(o.byWorker[t.worker], t.id)
 	if m := o.jobTasks[t.j.id]; m != nil {
 		delete(m, t.id)
 		if len(m) == 0 {
@@ -235,6 +279,7 @@
 // sendStart sends a start. From here on the task may run.
 func (c *Core) sendStart(t *task, w *workerState) {
 	t.phase = phaseStarting
+	delete(c.own.intents, t.id)
 	t.attempts++
 	t.j.everStarted = true
 	if !t.j.keyed {
--- a/internal/model/work.go
+++ b/internal/model/work.go
@@ -86,12 +86,14 @@
 	Spec       TaskSpec      `json:"spec"`
 	State      TaskState     `json:"state"`
 	Result     []byte        `json:"result,omitempty"`
-	ResultGone bool          `json:"result_gone,omitempty"` // done, and the worker no longer holds the result
-	Message    string        `json:"message,omitempty"`     // why it failed or was stopped
-	Usage      Resources     `json:"usage"`                 // observed, lagging
-	Ran        time.Duration `json:"ran"`                   // run time so far
+	Message    string        `json:"message,omitempty"` // why it failed or was stopped
+	Usage      Resources     `json:"usage"`             // observed, lagging
+	Ran        time.Duration `json:"ran"`               // run time so far
 	Throttled  bool          `json:"throttled,omitempty"`
 	Checkpoint []byte        `json:"checkpoint,omitempty"` // state to resume from
+	// ResultGone says that the worker knows only the state: it was told to
+	// forget the result, or has kept it for as long as it does.
+	ResultGone bool `json:"result_gone,omitempty"`
 }
 
 // Report is a worker's answer to a watch call.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -142,6 +142,14 @@
 	is.Equal(tried, []model.TaskID{"big0", "op", "small", "drop"})
 	is.Equal(n, 2)
 	is.Equal(q.Len(), 1000)
+	q.Push(item("other", model.ClassBatch, "other", 0, 9))
+	n = q.Schedule(0, func(*Item) Verdict { // may remove and add work of any flow
+		q.Remove("other")
+		q.Push(item("late", model.ClassBatch, "big", 0, 0))
+		return Blocked
+	})
+	is.Equal(n, 0)
+	is.Equal(q.Len(), 1001)
 }
 
 // TestCancellationWave guards against a wave of cancellations that leaves
@@ -187,7 +195,7 @@
 // they run, that hold more than their share, and against holding up short or
 // raised work because of it.
 func TestStragglerShare(t *testing.T) {
-	is, q := is.New(t), New(Config{})
+	is, q := is.New(t), New(Config{StragglerShare: 0.25})
 	q.SetSlots(40) // so stragglers may hold 10
 	for _, s := range []string{"short", "long", "nightly"} {
 		q.stats.learnClass(s, model.ClassBatch)
@@ -224,7 +232,7 @@
 	q.Raise("long", true)
 	is.Equal(run(11*second), map[string]int{"long": 19})
 	// A pass counts what it places even if the caller notes the starts later.
-	q = New(Config{})
+	q = New(Config{StragglerShare: 0.25})
 	q.SetSlots(40)
 	push("short", 1)
 	push("long", 30)
@@ -232,7 +240,7 @@
 	finish(q, "long", 5, 100*time.Second)
 	is.Equal(len(drain(q, 0)), 11)
 	// A straggler larger than the share still runs alone.
-	q = New(Config{})
+	q = New(Config{StragglerShare: 0.25})
 	q.SetSlots(40)
 	push("short", 1)
 	finish(q, "short", 100, time.Second)
@@ -357,7 +365,7 @@
 }
 
 // TestBounds guards against statistics and flows that grow with the number of
-// operation names that callers send.
+// operation names that callers send, and against keeping tasks that ended.
 func TestBounds(t *testing.T) {
 	is, q := is.New(t), New(Config{MaxOperations: 10, MaxFlows: 10})
 	for n := range 100 {
@@ -374,6 +382,13 @@
 	is.Equal(len(drain(q, 0)), 100)
 	drain(q, 0)
 	is.Equal(len(q.flows), 0)
+	q.Started(item("first", model.ClassBatch, "new", 0, 0), 0)
+	for n := range 1000 {
+		q.Started(item(fmt.Sprint(n), model.ClassBatch, "new", 0, 0), 0)
+		q.Ended(model.TaskID(fmt.Sprint(n)))
+		drain(q, 0)
+	}
+	is.True(len(q.running.started[model.ClassBatch]) <= compactAt+2)
 }
 
 // TestPredictions guards against a headroom that is late or vanishes at once, a
--- a/internal/queue/running.go
+++ b/internal/queue/running.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -90,13 +91,17 @@
 			u.late = q.stats.op(opKey{u.it.Service, u.it.Operation})
 			u.late.late++
 		}
+		if len(list) > 2*len(r.byTask)+compactAt {
+			// The first task may run for long while later ones end.
+			list = slices.DeleteFunc(list, func(u *run) bool { return u.ended })
+		}
 		r.started[class] = list
 	}
 }
 
 // Finished records the run time of a task that ran to its end.
 func (q *Queue) Finished(service, operation string, ran time.Duration, now model.Time) {
-	q.stats.finished(opKey{service, operation}, ran)
+	q.stats.finished(opKey{service, operation}, sample{now.Add(-ran), ran})
 	q.demand.advance(q, now)
 }
 
