A key that is tried again takes over the new request's hash

Cause: a key whose first attempt certainly did not run may be used for another request. Its entry kept the hash of the first request, so the request that ran was later refused as key_reused, and the first one was given its result. Ruled out: a hash that the log or a report lacks; both intents carried theirs. Change: a new attempt replaces the entry's hash. Conclusion: a key's request is the one of its newest attempt.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -97,6 +97,8 @@
 	case e.Answer != nil && e.Answer.Outcome != model.OutcomeNotRun:
 		return Conflict
 	}
+	// The attempt before did not run, so this one may be for another request.
+	e.Hash = in.RequestHash
 	e.Attempt, e.Intent, e.Answer, e.Logged, e.At = in.Attempt, in, nil, false, now
 	return Accepted
 }
