A publish on a version that is not read yet is not a conflict

Cause: an instance that lagged 100 ms behind the log refused a base above its own version as version_conflict, which clients take as final, although no other publish had won. Ruled out: the fold, which accepted the same publish through another instance. Change: the code is not_ready, which clients repeat. Conclusion: a conflict names a version that won.

--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -70,9 +70,10 @@
 	case !c.config.caughtUp && c.text == nil:
 		return model.CodeLogUnavailable
 	case ev.Base > c.version():
-		// A base that doesn't exist yet would lose now and could win later, when
-		// a repeated append lands.
-		return model.CodeVersionConflict
+		// This instance has not read that version yet, so it can't tell whether
+		// another publish has won. If the base did not exist at all, the record
+		// would lose now and could win later, when a repeated append lands.
+		return model.CodeNotReady
 	case c.text != nil && !slices.Equal(c.text.DataCentres, t.DataCentres):
 		return model.CodeHomesChanged
 	}
