Resume a gang whose first task has ended

Cause: a gang is queued as one item under its first task's index. When a new owner resumed a gang whose first task was done and whose others were lost, the queue dropped the item, and the accepted job never ended. Ruled out: the log, which had the acceptance and the progress, and capacity. Change: an item is dropped for a finished task only if it is not a gang. Conclusion: an accepted gang ends under a new owner.

--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -26,7 +26,11 @@
 func (c *Core) tryItem(it *queue.Item, reserve model.Resources) queue.Verdict {
 	t := it.Data.(*task)
 	j := t.j
-	if j.answer != nil || j.cancelled || j.marks[t.index] == taskDone {
+	if j.answer != nil || j.cancelled {
+		return queue.Drop
+	}
+	// A gang is one item for all its tasks, of which some may have ended.
+	if it.Class != model.ClassGang && j.marks[t.index] == taskDone {
 		return queue.Drop
 	}
 	if it.Class == model.ClassService && !c.instanceWanted(t) {
