Interactive headroom takes at most half of the capacity

Cause: the remembered demand peak counts waiting requests. A burst that had waited for an owner raised it above what a small data centre has, and the reserve kept accepted gangs and batch work from starting until it decayed, with a time constant of 10 minutes, on idle workers. Ruled out: quarantine, leaving marks and fragmentation; all workers were empty but for three service instances. Change: the reserve is at most half of the capacity in each component. Interactive work goes first in any case, and preempts batch work beyond it. Conclusion: accepted work starts on idle workers.

--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -15,13 +15,19 @@
 	o := c.own
 	o.depsDown = make(map[string]bool)
 	o.queue.SetSlots(o.cache.Capacity().Slots)
-	reserve := o.queue.Headroom(c.now)
+	reserve := o.queue.Headroom(c.now).Min(o.cache.Capacity().Div(headroomBound))
 	n := o.queue.Schedule(c.now, func(it *queue.Item) queue.Verdict {
 		return c.tryItem(it, reserve)
 	})
 	c.count("placements", "", n)
 }
 
+// headroomBound divides the capacity into what may be kept free for
+// interactive work at most. A burst of requests that waited for an owner would
+// else keep batch work and gangs from starting for minutes. Above the bound
+// interactive work makes room by preemption.
+const headroomBound = 2
+
 // tryItem places one queued item if it can.
 func (c *Core) tryItem(it *queue.Item, reserve model.Resources) queue.Verdict {
 	t := it.Data.(*task)
--- a/internal/model/resources.go
+++ b/internal/model/resources.go
@@ -53,6 +53,28 @@
 	}
 }
 
+// Min returns the smaller of r and o in each component.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		MilliCPU:     min(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     min(r.MemoryMB, o.MemoryMB),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+		Slots:        min(r.Slots, o.Slots),
+		Connections:  min(r.Connections, o.Connections),
+	}
+}
+
+// Div returns r with each component divided by n and rounded down.
+func (r Resources) Div(n int64) Resources {
+	return Resources{
+		MilliCPU:     r.MilliCPU / n,
+		MemoryMB:     r.MemoryMB / n,
+		Accelerators: r.Accelerators / n,
+		Slots:        r.Slots / n,
+		Connections:  r.Connections / n,
+	}
+}
+
 // Fits reports whether r is at most free in each component.
 func (r Resources) Fits(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU &&
