--- a/internal/core/histories_test.go
+++ b/internal/core/histories_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
 	"strconv"
@@ -120,3 +121,9 @@
 	}
 	return string(b)
 }
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7") // before parsing, so that it can be overridden
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/core/replay_test.go
@@ -0,0 +1,56 @@
+package core_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/servicetext"
+)
+
+// recorded is one step as an event file has it.
+type recorded struct {
+	now     model.Time
+	event   []byte
+	effects []byte
+}
+
+// recording collects the steps of every instance of a history.
+func recording(w *world) map[*instance][]recorded {
+	steps := map[*instance][]recorded{}
+	w.record = func(in *instance, now model.Time, ev core.Event) func([]core.Effect) {
+		b, _ := json.Marshal(ev) // before the step, which may keep parts of the event
+		return func(effects []core.Effect) {
+			e, _ := json.Marshal(effects)
+			steps[in] = append(steps[in], recorded{now: now, event: b, effects: e})
+		}
+	}
+	return steps
+}
+
+// replaySeed is a history with takeovers, log outages and worker faults.
+const replaySeed = 120
+
+// TestReplay guards against a reducer whose effects depend on anything but its
+// events, such as the order of a map.
+func TestReplay(t *testing.T) {
+	is := is.New(t)
+	var steps map[*instance][]recorded
+	w := history(replaySeed, func(w *world) { steps = recording(w) })
+	for _, in := range w.all {
+		c := core.New(in.cfg, servicetext.Parse)
+		for _, s := range steps[in] {
+			var ev core.Event
+			is.NoErr(json.Unmarshal(s.event, &ev))
+			effects, err := json.Marshal(c.Step(s.now, ev))
+			is.NoErr(err)
+			if !bytes.Equal(effects, s.effects) {
+				t.Fatalf("%s at %d: %s\nrecorded %s\nreplayed %s", in.self.Incarnation, s.now, s.event, s.effects, effects)
+			}
+		}
+	}
+}
