--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -245,17 +245,13 @@
 func (c *Core) onForwardSent(ev *Sent) {
 	cl := c.calls[c.forwards[ev.ID]]
 	delete(c.forwards, ev.ID)
-	if cl == nil || !contains(cl.open, ev.ID) {
+	if cl == nil {
 		return
 	}
-	last := cl.message == ev.ID
-	if last {
-		cl.message = ""
-	}
 	if ev.Delivery == DeliveryNotSent && c.forwardsOver(cl, []string{ev.ID}) {
 		return
 	}
-	if !last || cl.refused != nil {
+	if cl.message != ev.ID || cl.refused != nil {
 		return
 	}
 	if ev.Delivery == DeliveryOK {
@@ -387,10 +383,17 @@
 
 // finishCall answers a caller.
 func (c *Core) finishCall(cl *call, a model.Answer) {
-	delete(c.calls, cl.id)
+	c.dropCall(cl)
 	c.answerCaller(cl.id, a)
 }
 
+func (c *Core) dropCall(cl *call) {
+	delete(c.calls, cl.id)
+	for _, id := range cl.open {
+		delete(c.forwards, id)
+	}
+}
+
 func (c *Core) answerCaller(id model.RequestID, a model.Answer) {
 	c.count("answers", string(a.Outcome), 1)
 	c.emit(Effect{Answer: &Answer{Request: id, Answer: a}})
@@ -399,7 +402,9 @@
 // onGone drops a call whose caller has left. Work that was accepted or has a
 // key goes on.
 func (c *Core) onGone(ev *Gone) {
-	delete(c.calls, ev.Request)
+	if cl := c.calls[ev.Request]; cl != nil {
+		c.dropCall(cl)
+	}
 }
 
 // knownDataCentre reports whether the text or the membership names dc.
