--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -117,6 +117,7 @@
 			&cli.StringFlag{Name: "listen-base", Usage: "`IP:port` of the first worker; the others follow", Value: "127.0.0.1:0"},
 			&cli.StringFlag{Name: "shape", Usage: "`cpu=CORES,memory=MB,accelerators=N,slots=N,connections=N`; parts left out keep the default of 16 cores, 32 GB, 8 slots, 64 connections"},
 			&cli.DurationFlag{Name: "usage-lag", Usage: "of usage reports", Value: defaultUsageLag},
+			&cli.BoolFlag{Name: "unguarded", Usage: "accept every start: whatever its epoch and not-after time, and above the capacity"},
 			&cli.Uint64Flag{Name: "seed", Usage: "of boot ids and random faults; 0: from the clock"},
 		},
 		// A shape has commas.
@@ -146,6 +147,7 @@
 			Name:     model.WorkerName(fmt.Sprintf("%s-w%03d", dc, n)),
 			Rack:     fmt.Sprintf("%s-r%02d", dc, n/workersPerRack),
 			Capacity: capacity, UsageLag: cmd.Duration("usage-lag"), Seed: seed + uint64(i), Ledger: ledger,
+			Unguarded: cmd.Bool("unguarded"),
 		}, clock)
 		listen := net.JoinHostPort(host, "0")
 		if port > 0 {
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -22,6 +22,7 @@
 	Task    model.TaskID     `json:"task"`
 	Service string           `json:"service"`
 	Key     model.Key        `json:"key,omitempty"`
+	Body    uint64           `json:"body"` // xxhash of the task's body; links runs to submissions with unique bodies
 	Epoch   uint64           `json:"epoch"`
 	Start   time.Duration    `json:"start_ns"`
 	End     time.Duration    `json:"end_ns"` // valid unless State is running
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/worker"
 )
@@ -209,7 +211,7 @@
 func (w *Worker) run(req worker.StartRequest, now time.Duration) {
 	t := newTask(req, now, w.failAll, w.rng)
 	s := req.Spec
-	t.run = w.Ledger.began(Run{Worker: w.cfg.Name, Task: s.ID, Service: s.Service, Key: s.Key, Epoch: req.Epoch, Start: now})
+	t.run = w.Ledger.began(Run{Worker: w.cfg.Name, Task: s.ID, Service: s.Service, Key: s.Key, Body: xxhash.Sum64(req.Body), Epoch: req.Epoch, Start: now})
 	w.tasks[s.ID] = t
 	w.running = append(w.running, t)
 	w.touch(t)
