--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -12,7 +12,7 @@
 // onForward takes a request that another instance forwarded: as the owner it
 // admits it, else it hands it on to its data centre's owner.
 func (c *Core) onForward(f *message.Forward) {
-	o := origin{member: f.Origin, request: f.Request, job: f.Job}
+	o := originOf(f)
 	if jobHome(f.Job) != c.cfg.Self.DataCentre {
 		c.reply(o, notRun(f.Job, model.CodeHopLimit, "the job's home is another data centre"))
 		return
@@ -37,15 +37,13 @@
 	until model.Time
 }
 
-func (p parked) origin() origin {
-	return origin{member: p.f.Origin, request: p.f.Request, job: p.f.Job}
-}
+func (p parked) origin() origin { return originOf(p.f) }
 
 // admit decides on a request at the owner.
 func (c *Core) admit(f *message.Forward) {
 	until := c.now.Add(time.Duration(f.Remaining))
 	w := waiter{
-		origin: origin{member: f.Origin, request: f.Request, job: f.Job},
+		origin: originOf(f),
 		kind:   f.Kind, until: until,
 	}
 	switch f.Kind {
@@ -102,6 +100,13 @@
 		c.reply(w.origin, notRun(f.Job, code, msg))
 		return
 	}
+	if j.keyed && c.keysLost() {
+		c.reply(w.origin, model.Answer{
+			Outcome: model.OutcomeUnknown, Code: model.CodeHomeSettling,
+			Message: "records of this data centre were lost; the key may have run before",
+		})
+		return
+	}
 	if j.keyed && !c.own.settled {
 		c.own.parked = append(c.own.parked, parked{f: f, until: w.until})
 		return
@@ -115,6 +120,7 @@
 func (c *Core) admitByClass(j *job, w waiter) {
 	if j.keyed || (j.svc.Class == model.ClassInteractive && w.kind == message.ForwardRequest) {
 		j.deadline = w.until
+		c.budget(j.svc.Name).First(c.now)
 		c.enqueueJob(j)
 		return
 	}
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -13,6 +13,10 @@
 	Seeds  map[model.DataCentre][]string `json:"seeds"` // peer addresses to try before the VM list is known
 	Timing Timing                        `json:"timing"`
 	Limits Limits                        `json:"limits"`
+	// Baseline exists for comparisons only: first fit, one first-come queue over
+	// all classes, no headroom, no preemption and no early refusal. Operators
+	// have no setting for it.
+	Baseline bool `json:"baseline,omitempty"`
 }
 
 // Timing holds every duration that the reducer uses.
@@ -64,10 +68,11 @@
 		TaskLease: 12 * time.Second,
 		// StartGrace is added to a takeover's wait for workers without guards.
 		StartGrace: 500 * time.Millisecond,
-		// GroupCommit bounds a data centre to 20 appends a second, so that 18 of
-		// them stay within the several hundred that the log takes.
-		GroupCommit: 50 * time.Millisecond,
-		LazyCommit:  500 * time.Millisecond,
+		// GroupCommit bounds a data centre to 10 appends a second, so that 18 of
+		// them stay within the several hundred that the log takes. The first
+		// record after a pause is sent at once.
+		GroupCommit: 100 * time.Millisecond,
+		LazyCommit:  2 * time.Second,
 		Retention:   time.Hour,
 		KeyLife:     4 * time.Hour,
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	vmsListed    bool   // the VM list was read at least once
 	consultedBy  uint64 // highest epoch whose consult this instance answered
 	leaseDirty   bool   // something that the lease depends on has changed
+	attempts     int    // numbers the starts of this instance
 	dirty        bool   // a scheduling pass may place something
 
 	budgets map[string]*retry.Budget
@@ -77,6 +78,7 @@
 	ok       bool           // the last read succeeded
 	failedAt model.Time     // since when reads fail; meaningful if !ok
 	caughtUp bool           // the tail was reached at least once
+	fromAt   model.Time     // when that read was
 	from     uint64         // first offset that was read since the last gap
 	parts    map[uint64]int // by a snapshot's offset: parts read in a row
 }
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -21,9 +21,7 @@
 				}
 			}
 		case a.Claim != nil:
-			if c.mayClaim(*a.Claim) {
-				c.appendAlone(record.Entry{Claim: a.Claim})
-			}
+			c.appendAlone(record.Entry{Claim: a.Claim})
 		case a.Release != nil:
 			c.appendAlone(record.Entry{Release: a.Release})
 		case a.Change != nil:
@@ -33,12 +31,6 @@
 	c.syncOwner()
 }
 
-// mayClaim holds a claim back while the folded state has a gap and another
-// instance, which may know more, is alive.
-func (c *Core) mayClaim(cl record.Claim) bool {
-	return c.stream.complete || len(c.view.Alive(c.now)) <= 1 || cl.Epoch == 1
-}
-
 // appendAlone appends one record in a batch of its own. Its repetition is the
 // ownership protocol's business, so it carries no sequence number.
 func (c *Core) appendAlone(e record.Entry) {
@@ -71,7 +63,7 @@
 // takeOver builds the owner's state from the folded log. Tasks start only
 // after the wait; workers are fenced and asked for reports at once.
 func (c *Core) takeOver(epoch uint64) {
-	c.own = newOwner(epoch, c.now)
+	c.own = newOwner(epoch, c.now, c.cfg.Baseline)
 	c.nextBeat = c.now // an owner beats more often
 	c.count("takeovers", "", 1)
 	if c.text != nil {
@@ -88,6 +80,11 @@
 	for _, e := range c.keys.Doubtful() {
 		c.adoptIntent(e)
 	}
+	// Outcomes that an earlier epoch of this instance could not log any more.
+	// Workers keep the results until the log has them.
+	for _, o := range c.keys.Unlogged(epoch) {
+		c.append(record.Entry{Outcome: &o}, false)
+	}
 	c.dirty = true
 }
 
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -39,9 +39,10 @@
 	nextConsult model.Time
 	parked      []parked
 
-	undurable int // submissions whose Accept was not read back
-	holds     map[model.TaskID]map[model.Incarnation]bool
-	nextHold  model.Time
+	preempting int // checkpoints that were ordered and have not ended
+	undurable  int // submissions whose Accept was not read back
+	holds      map[model.TaskID]map[model.Incarnation]bool
+	nextHold   model.Time
 
 	probes       []model.WorkerName // quarantined workers that are due for a probe
 	nextWorkers  model.Time
@@ -49,15 +50,16 @@
 	nextForecast model.Time
 	nextForget   model.Time
 	forget       map[model.WorkerName][]model.TaskID
-	attempts     int // for task ids that are unique within the epoch
 	snapshot     *snapshotWriter
 }
 
-func newOwner(epoch uint64, now model.Time) *owner {
+func newOwner(epoch uint64, now model.Time, baseline bool) *owner {
+	policy := queue.DefaultConfig()
+	policy.FirstCome = baseline
 	return &owner{
 		epoch: epoch, since: now,
 		cache:    placement.NewCache(),
-		queue:    queue.New(queue.DefaultConfig()),
+		queue:    queue.New(policy),
 		workers:  make(map[model.WorkerName]*workerState),
 		tasks:    make(map[model.TaskID]*task),
 		jobTasks: make(map[model.JobID]map[model.TaskID]*task),
@@ -102,12 +104,14 @@
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
-// that task ids of successive owners differ.
-const attemptShift = 24
+// that task ids of successive owners differ. 32 bits last for years of starts.
+const attemptShift = 32
 
+// nextAttempt returns the number of a new attempt. The count goes on when the
+// same instance takes the lease up again, possibly in the same epoch.
 func (c *Core) nextAttempt() int {
-	c.own.attempts++
-	return int(c.own.epoch)<<attemptShift | c.own.attempts
+	c.attempts++
+	return int(c.own.epoch)<<attemptShift | c.attempts
 }
 
 func (j *job) item(index int, now model.Time) *queue.Item {
@@ -175,6 +179,7 @@
 		c.reconcileServices()
 		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
+		c.evacuate()
 	}
 	if c.now >= o.nextForecast {
 		o.nextForecast = c.now.Add(forecastInterval)
@@ -251,6 +256,12 @@
 	case !j.everStarted:
 		c.endJob(j, notRun(j.id, model.CodeDeadline, "the deadline passed before the work could start"))
 		return *j.answer
+	case j.active == 0 && !j.keyed:
+		c.endJob(j, model.Answer{
+			Outcome: model.OutcomeFailed, Code: model.CodeDeadline,
+			Message: "every attempt failed and the deadline passed",
+		})
+		return *j.answer
 	}
 	return model.Answer{
 		Outcome: model.OutcomeUnknown, Code: model.CodeDeadline,
@@ -344,7 +355,13 @@
 // maybeEndJob ends a job all of whose tasks have ended, or that was cancelled
 // and has nothing running.
 func (c *Core) maybeEndJob(j *job) {
-	if j.answer != nil || j.keyed {
+	if j.answer != nil {
+		return
+	}
+	if j.keyed {
+		if j.cancelled && j.active == 0 && !j.everStarted {
+			c.endJob(j, notRun(j.id, model.CodeCancelled, "cancelled before it started"))
+		}
 		return
 	}
 	switch {
@@ -352,7 +369,7 @@
 		c.endJob(j, model.Answer{Outcome: model.OutcomeDone, Result: j.result()})
 	case j.ended():
 		code := model.CodeTaskFailed
-		if c.blame.JobAtFault(j.id) {
+		if c.atFault(j) {
 			code = model.CodeJobFault
 		}
 		c.endJob(j, model.Answer{Outcome: model.OutcomeFailed, Code: code, Message: string(j.firstFailure())})
--- a/internal/core/publish.go
+++ b/internal/core/publish.go
@@ -15,6 +15,10 @@
 	id       string
 	requests []model.RequestID
 	payload  []byte
+	// base is the version that the text was made from. The append waits until
+	// this instance has read that version: a base that doesn't exist would lose
+	// now and could win later, when a repeated append lands.
+	base     uint64
 	batch    string // of the append that is outstanding; empty: none
 	sent     bool   // an append may have taken effect
 	retryAt  model.Time
@@ -50,9 +54,11 @@
 		c.emit(Effect{Publish: &PublishAnswer{Request: ev.Request, Code: model.CodeInternal}})
 		return
 	}
-	p.payload = payload
+	p.payload, p.base = payload, ev.Base
 	c.publishes[ev.ID] = p
-	c.sendPublish(p)
+	if p.base <= c.version() {
+		c.sendPublish(p)
+	}
 }
 
 // checkPublish refuses a text that is invalid or changes the homes of keys.
@@ -69,10 +75,6 @@
 		return model.CodeDraining
 	case !c.config.caughtUp && c.text == nil:
 		return model.CodeLogUnavailable
-	case ev.Base > c.version():
-		// A base that doesn't exist yet would lose now and could win later, when
-		// a repeated append lands.
-		return model.CodeVersionConflict
 	case c.text != nil && !slices.Equal(c.text.DataCentres, t.DataCentres):
 		return model.CodeHomesChanged
 	}
@@ -122,7 +124,7 @@
 				code = model.CodeInDoubt // repeat with the same id to learn the outcome
 			}
 			c.answerPublish(id, false, code)
-		case p.batch == "" && c.now >= p.retryAt:
+		case p.batch == "" && c.now >= p.retryAt && p.base <= c.version():
 			c.sendPublish(p)
 		}
 	}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -58,7 +58,7 @@
 		c.lease.SeenEpoch(c.now, r.Epoch)
 	case model.CodeLeaving:
 		if w != nil {
-			w.leaving = true
+			c.setLeaving(w, true)
 			c.setFlags(w)
 		}
 	}
@@ -288,6 +288,8 @@
 		return
 	}
 	switch {
+	case ok && st.ResultGone:
+		c.retryTask(t, "the result is no longer held")
 	case ok:
 		c.own.queue.Finished(j.sub.Service, j.sub.Operation, st.Ran, c.now)
 		c.taskDone(t, st.Result)
@@ -361,7 +363,7 @@
 	switch {
 	case j.answer != nil || j.cancelled:
 		c.maybeEndJob(j)
-	case t.attempts >= limit || c.blame.JobAtFault(j.id):
+	case t.attempts >= limit || c.atFault(j):
 		c.failTask(t, why)
 	case j.svc.Class == model.ClassInteractive && !c.budget(j.svc.Name).Retry(c.now):
 		c.count("retries_denied", j.svc.Name, 1)
@@ -411,6 +413,9 @@
 	}
 	for _, id := range ev.Tasks {
 		if t := c.own.tasks[id]; t != nil {
+			if t.preempted {
+				c.own.preempting--
+			}
 			t.stopping, t.preempted = false, false
 			if t.j.cancelled || t.j.answer != nil {
 				t.stopping = true
@@ -434,6 +439,19 @@
 // noteHealth tells the blame table how a task ended, and applies its verdict
 // on the worker.
 func (c *Core) noteHealth(t *task, ok bool) {
-	ch := c.blame.TaskEnded(c.now, t.worker, t.j.id, ok)
+	ch := c.blame.TaskEnded(c.now, t.worker, t.j.blameID(), ok)
 	c.applyHealth(ch)
 }
+
+// blameID is the job that failures are attributed to. Requests are many small
+// jobs; one id for all of an operation keeps a faulty operation from looking
+// like many jobs that a worker fails.
+func (j *job) blameID() model.JobID {
+	if j.keyed || j.svc.Class == model.ClassInteractive {
+		return model.JobID(j.sub.Service + "/" + j.sub.Operation)
+	}
+	return j.id
+}
+
+// atFault reports whether a batch or gang job fails on healthy workers.
+func (c *Core) atFault(j *job) bool { return j.blameID() == j.id && c.blame.JobAtFault(j.id) }
