Drop queued batch tasks that a report shows as running

Cause: a new owner queues every task of an accepted job that the log does not show as done, and adopts running tasks from workers' reports afterwards. The queued copy of an adopted task stayed in the queue and was placed as soon as the owner acted, so each running batch task ran a second time after a takeover.

Ruled out: tasks ended by their lease (both runs ended as done), reports that arrive after the placement (the guarded workers had reported 1.2 s before the owner acted), and missing log records (both runs belong to the same job).

Change: a pass over the queue drops a batch item whose task is not waiting. Gangs wait until nothing of them is active and services are checked by instanceWanted already.

Conclusion: no promise was broken, since batch work is idempotent, but every takeover repeated the batch work that was running.

--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -32,6 +32,11 @@
 	if it.Class == model.ClassService && !c.instanceWanted(t) {
 		return queue.Drop
 	}
+	if it.Class == model.ClassBatch && j.marks[t.index] != taskWaiting {
+		// A job that a takeover queued again; a report has shown since that the
+		// task still runs.
+		return queue.Drop
+	}
 	if c.dependencyDown(&j.svc) {
 		return queue.Blocked
 	}
