--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -91,6 +91,9 @@
 		if e.Intent.Task == "" {
 			e.Intent = in
 		}
+		// An intent that electors held may have been given more time than the
+		// copy in the log. Only after the later time has it certainly not run.
+		e.Intent.NotAfter = max(e.Intent.NotAfter, in.NotAfter)
 		return Repeated
 	case in.Attempt < e.Attempt:
 		return Repeated
