--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -39,7 +39,7 @@
 //	cut DC | heal          cuts a data centre off from the others
 //	publishers N BASE      N concurrent publishes; exactly one must win
 //	callers N              starts N callers in the background
-//	request NAME INSTANCE SERVICE KEY RUN_MS      submits in the background; "-" is no key
+//	request NAME INSTANCE SERVICE KEY RUN_MS [DEADLINE]      submits in the background; "-" is no key
 //	answer NAME OUTCOME|OUTCOME [CODE|CODE]       waits for the answer
 //	exits CODE COMMAND ARGS...
 //	retry-until PATTERN COMMAND ARGS...
@@ -201,6 +201,9 @@
 	if args[3] != "-" {
 		r.submit.Key = model.Key(args[3])
 	}
+	if len(args) > 5 {
+		r.submit.Deadline = args[5]
+	}
 	s.waiting.Go(func() {
 		t := send(i, r)
 		s.mu.Lock()
