--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -15,18 +15,28 @@
 	o := c.own
 	o.depsDown = make(map[string]bool)
 	o.queue.SetSlots(o.cache.Capacity().Slots)
-	reserve := o.queue.Headroom(c.now)
+	reserve := o.queue.Headroom(c.now).Min(o.cache.Capacity().Div(headroomBound))
 	n := o.queue.Schedule(c.now, func(it *queue.Item) queue.Verdict {
 		return c.tryItem(it, reserve)
 	})
 	c.count("placements", "", n)
 }
 
+// headroomBound divides the capacity into what may be kept free for
+// interactive work at most. A burst of requests that waited for an owner would
+// else keep batch work and gangs from starting for minutes. Above the bound
+// interactive work makes room by preemption.
+const headroomBound = 2
+
 // tryItem places one queued item if it can.
 func (c *Core) tryItem(it *queue.Item, reserve model.Resources) queue.Verdict {
 	t := it.Data.(*task)
 	j := t.j
-	if j.answer != nil || j.cancelled || j.marks[t.index] == taskDone {
+	if j.answer != nil || j.cancelled {
+		return queue.Drop
+	}
+	// A gang is one item for all its tasks, of which some may have ended.
+	if it.Class != model.ClassGang && j.marks[t.index] == taskDone {
 		return queue.Drop
 	}
 	if it.Class == model.ClassService && !c.instanceWanted(t) {
@@ -278,7 +288,9 @@
 	}
 	o.cache.Release(t.id)
 	o.queue.Ended(t.id)
-	t.j.mark(t.index, taskWaiting)
+	if !t.superseded {
+		t.j.mark(t.index, taskWaiting)
+	}
 	c.dirty = true
 }
 
