Refuse a gang that all known workers together can't hold

Cause: admission compared one task of a gang with a worker, so a gang of 50 tasks was accepted by a data centre with 8 slots and waited for ever.

Ruled out: a quota (the team has none) and a missing report (the only worker had reported).

Change: once every known worker has reported, admission asks CanEverFitGang, and compares the whole gang with the team's quota. Before all reports are in, nothing is refused on their account.

Before: scenario callers got outcome accepted. After: not_run with never_fits, and nothing ran.

Conclusion: what can't start together at any time is refused at once.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/message"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/placement"
 	"github.com/gentianpick/gentianpick/internal/record"
 )
 
@@ -189,8 +190,15 @@
 	if !c.fitsAnything(j.need) {
 		return model.CodeNeverFits, fmt.Sprintf("no worker can hold %+v", j.need)
 	}
-	if q, ok := c.quota(j.svc.Team); ok && exceeds(j.need, q) {
-		return model.CodeQuotaExceeded, "one task exceeds the quota of team " + j.svc.Team
+	atOnce := j.need
+	if j.svc.Class == model.ClassGang {
+		atOnce = j.need.Scale(int64(len(j.marks)))
+		if !c.gangFits(j) {
+			return model.CodeNeverFits, fmt.Sprintf("all known workers together can't hold %d tasks of %+v", len(j.marks), j.need)
+		}
+	}
+	if q, ok := c.quota(j.svc.Team); ok && exceeds(atOnce, q) {
+		return model.CodeQuotaExceeded, "what has to run at once exceeds the quota of team " + j.svc.Team
 	}
 	durable := !j.keyed && (j.svc.Class != model.ClassInteractive || w.kind == message.ForwardJob)
 	switch {
@@ -233,6 +241,19 @@
 	return c.own.cache.CanEverFit(need)
 }
 
+// gangFits reports whether the known workers, if they were empty, could hold
+// all tasks of a gang at once. Before every worker has reported it is not known.
+func (c *Core) gangFits(j *job) bool {
+	if !c.allWorkersReported() {
+		return true
+	}
+	rs := make([]placement.Request, len(j.marks))
+	for i := range rs {
+		rs[i].Need = j.need
+	}
+	return c.own.cache.CanEverFitGang(rs)
+}
+
 func (c *Core) quota(team string) (model.Resources, bool) {
 	for _, t := range c.text.Teams {
 		if t.Name == team {
