Let the owner's verdict arrive before the deadline's unknown

Cause: the owner and the caller's instance counted to the same instant; an owner that could say not run at the deadline was overtaken by the unknown of the instance that had forwarded the request. Change: the caller's instance waits 250 ms longer than the owner. Conclusion: the honest answer gets through.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -37,6 +37,10 @@
 	// noOwnerRetry is how soon a call is routed again when its data centre has
 	// no owner: a small part of the time that a takeover takes.
 	noOwnerRetry = 50 * time.Millisecond
+	// replyGrace is how much longer than the owner the caller's instance waits.
+	// At the deadline the owner knows whether the work has started; without the
+	// grace its "not run" would come just after an "unknown".
+	replyGrace = 250 * time.Millisecond
 	// acceptWait is how long a caller waits for a job to be accepted.
 	acceptWait = 10 * time.Second
 	// unreachableMisses is the number of forwards in a row that were certainly
@@ -139,6 +143,7 @@
 	if wait > 0 {
 		cl.deadline = min(cl.deadline, c.now.Add(wait))
 	}
+	cl.deadline = cl.deadline.Add(replyGrace)
 }
 
 // route hands a call to the owner of its home, directly or by a forward.
@@ -195,7 +200,7 @@
 func (cl *call) forwardMessage(self model.Member, hops int, now model.Time) *message.Forward {
 	return &message.Forward{
 		Origin: self, Request: cl.id, Kind: cl.kind, Submission: cl.sub, Job: cl.job,
-		Hops: hops, Remaining: int64(cl.deadline.Sub(now)),
+		Hops: hops, Remaining: int64(cl.deadline.Add(-replyGrace).Sub(now)),
 	}
 }
 
