One heartbeat at a time to other data centres

Cause: each instance sent a heartbeat to up to two instances of every other data centre each second, so its traffic grew with the number of data centres. Change: one heartbeat a second goes to the next far target in turn; the limit after which a far instance counts as silent follows the length of a round; replies carry the owner's load. A text still spreads without the platform, since every instance passes it on. TestFar counted the far targets in Targets before; it now counts the turns of each. Conclusion: the far traffic no longer depends on the number of data centres.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,6 +97,7 @@
 		}),
 		view: membership.New(membership.Config{
 			Self: self, Suspect: cfg.Timing.Suspect, FarPeers: cfg.Limits.FarPeers, Seeds: cfg.Seeds,
+			FarBeat: cfg.Timing.FarHeartbeat,
 		}),
 		pub:       publication.New(),
 		calls:     make(map[model.RequestID]*call),
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -29,21 +29,23 @@
 	if far {
 		c.nextFarBeat = c.now.Add(c.jitter(c.cfg.Timing.FarHeartbeat, 0.9, 1.1))
 	}
-	hb := c.heartbeat()
-	withLoad := *hb
-	if c.acting() && far {
-		l := c.load()
-		withLoad.Load = &l
-	}
-	owner, known := c.lease.Owner()
-	for _, m := range c.view.Targets() {
-		switch own := m.DataCentre == c.cfg.Self.DataCentre; {
-		case !own && far:
-			c.send(m, message.Body{Heartbeat: &withLoad})
-		case own && near && !(known && m.Incarnation == owner.Incarnation):
-			c.send(m, message.Body{Heartbeat: hb})
+	if near {
+		hb := c.heartbeat()
+		owner, known := c.lease.Owner()
+		for _, m := range c.view.Targets() {
+			if !known || m.Incarnation != owner.Incarnation {
+				c.send(m, message.Body{Heartbeat: hb})
+			}
 		}
 	}
+	if !far {
+		return
+	}
+	if m, ok := c.view.FarTarget(); ok {
+		hb := c.heartbeat()
+		hb.Load = c.load()
+		c.send(m, message.Body{Heartbeat: hb})
+	}
 }
 
 // peerBeatFactor times the heartbeat interval is the interval between two
@@ -59,12 +61,16 @@
 	}
 }
 
-// load summarises the owner's state for other data centres.
-func (c *Core) load() message.Load {
+// load summarises the owner's state for other data centres; nil if this
+// instance does not act as the owner.
+func (c *Core) load() *message.Load {
+	if !c.acting() {
+		return nil
+	}
 	o := c.own
 	free := o.cache.Free()
 	probe := (&job{sub: model.Submission{}, svc: model.Service{Class: model.ClassInteractive}}).item(0, c.now)
-	return message.Load{
+	return &message.Load{
 		Workers: o.cache.Len(), FreeSlots: free.Slots,
 		WaitMicros:   o.queue.PredictedWait(probe, c.now, free).Microseconds(),
 		RunningTasks: len(o.tasks), WaitingTasks: o.queue.Len(),
@@ -135,6 +141,9 @@
 	if m, ok := c.lease.Owner(); ok {
 		r.Owner = &m
 	}
+	if from.DataCentre != c.cfg.Self.DataCentre {
+		r.Load = c.load()
+	}
 	c.send(from, message.Body{HeartbeatReply: r})
 	c.compareText(from, hb.TextVersion, hb.TextHash)
 }
@@ -142,10 +151,24 @@
 func (c *Core) onHeartbeatReply(from model.Member, r *message.HeartbeatReply) {
 	if from.DataCentre == c.cfg.Self.DataCentre {
 		c.lease.OnHeartbeatReply(c.now, from, *r)
+	} else if r.Owner != nil {
+		c.noteFarOwner(from, r)
 	}
 	c.compareText(from, r.TextVersion, r.TextHash)
 }
 
+// noteFarOwner learns the owner of another data centre from any of its
+// instances. The load is the owner's own word.
+func (c *Core) noteFarOwner(from model.Member, r *message.HeartbeatReply) {
+	if r.Owner.Incarnation == from.Incarnation && r.Load != nil {
+		c.view.SetLoad(from, *r.Load, true, r.Epoch)
+		return
+	}
+	if m, _, ok := c.view.FarOwner(c.now, from.DataCentre); !ok || m.Incarnation != r.Owner.Incarnation {
+		c.view.SetLoad(*r.Owner, message.Load{}, true, r.Epoch)
+	}
+}
+
 // onSent handles the delivery of a message. Only forwards depend on it; other
 // messages are repeated by their own timers.
 func (c *Core) onSent(ev *Sent) {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/gentianpick/gentianpick/internal/message"
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -30,7 +31,7 @@
 // alive reports whether an entry was heard within the time that fits its
 // distance.
 func (v *View) alive(e *entry) bool {
-	limit := farRecent
+	limit := v.farLimit
 	if e.member.DataCentre == v.cfg.Self.DataCentre {
 		limit = v.cfg.Suspect
 	}
@@ -114,21 +115,35 @@
 	return a.member.Incarnation > b.member.Incarnation
 }
 
-// Targets returns the instances to send heartbeats to: every one of the own
-// data centre, and FarPeers of each other one.
+// Targets returns the other instances of the own data centre, which all get
+// every heartbeat.
 func (v *View) Targets() []model.Member {
 	var out []model.Member
+	for _, c := range v.candidates(v.cfg.Self.DataCentre) {
+		out = append(out, c.member)
+	}
+	return out
+}
+
+// FarTarget returns the instance of another data centre whose turn it is to
+// get a heartbeat. One at a time keeps the traffic of an instance independent
+// of the number of data centres; what one instance learns spreads through the
+// others.
+func (v *View) FarTarget() (model.Member, bool) {
+	var all []model.Member
 	for _, dc := range v.DataCentres() {
-		if dc == v.cfg.Self.DataCentre {
-			for _, c := range v.candidates(dc) {
-				out = append(out, c.member)
-			}
-			continue
+		if dc != v.cfg.Self.DataCentre {
+			far := v.best(dc)
+			all = append(all, far[:min(len(far), v.cfg.FarPeers)]...)
 		}
-		far := v.best(dc)
-		out = append(out, far[:min(len(far), v.cfg.FarPeers)]...)
 	}
-	return out
+	if len(all) == 0 {
+		return model.Member{}, false
+	}
+	round := time.Duration(farRounds * float64(len(all)) * float64(v.cfg.FarBeat))
+	v.farLimit = max(farRecent, round)
+	v.turn++
+	return all[v.turn%len(all)], true
 }
 
 // FarOwner returns the owner of another data centre if it is known and was
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// farRecent is the silence after which an instance of another data centre
-	// counts as unreachable: three heartbeats of one second, and transit.
+	// farRecent is the least silence after which an instance of another data
+	// centre counts as unreachable.
 	farRecent = 3500 * time.Millisecond
+	// farRounds is how many turns of all far targets may pass without a word of
+	// an instance: two lost heartbeats, and transit.
+	farRounds = 2.5
 	// forgetAfter is how long an instance that is neither heard nor listed is
 	// remembered, and how long a superseded incarnation stays refused. It is
 	// well above any message's delay.
@@ -38,6 +41,7 @@
 	Self     model.Member
 	Suspect  time.Duration // silence after which a member of the own data centre is not alive
 	FarPeers int           // instances of each other data centre that get heartbeats
+	FarBeat  time.Duration // between two heartbeats to other data centres, each to the next far target
 	Seeds    map[model.DataCentre][]string
 }
 
@@ -78,6 +82,8 @@
 	cfg          Config
 	now          model.Time
 	selfDraining bool
+	turn         int           // of the far targets
+	farLimit     time.Duration // silence after which a far instance is not alive
 	entries      map[model.Incarnation]*entry
 	superseded   map[model.Incarnation]model.Time
 	listed       map[string]model.VM // entry VMs of the newest list that had any, by address
@@ -87,7 +93,7 @@
 // New returns the view of an instance that has heard nothing yet.
 func New(cfg Config) *View {
 	return &View{
-		cfg: cfg, now: none,
+		cfg: cfg, now: none, farLimit: farRecent,
 		entries:    map[model.Incarnation]*entry{},
 		superseded: map[model.Incarnation]model.Time{},
 		listed:     map[string]model.VM{},
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -72,7 +72,17 @@
 func TestFar(t *testing.T) {
 	is := is.New(t)
 	v := newView()
-	is.Equal(len(v.Targets()), 3) // t1 and two of voru
+	is.Equal(len(v.Targets()), 1) // t1
+	turns := map[string]int{}
+	for range 6 {
+		m, ok := v.FarTarget()
+		is.True(ok)
+		turns[m.Address]++
+	}
+	is.Equal(len(turns), 2) // two of voru, in turn
+	for _, n := range turns {
+		is.Equal(n, 3)
+	}
 	v.Heard(sec(1), vm("v1-a", "v1:1"), false)
 	v.Heard(sec(1), vm("v2-a", "v2:1"), true)
 	v.Heard(sec(1), vm("v3-a", "v3:1"), false)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -64,6 +64,7 @@
 	TextVersion uint64        `json:"text_version"`
 	TextHash    uint64        `json:"text_hash"`
 	Owner       *model.Member `json:"owner,omitempty"` // owner of Epoch as the sender knows it
+	Load        *Load         `json:"load,omitempty"`  // of an owner; only to other data centres
 }
 
 // ConsentRequest asks an elector to agree to a claim.
