--- a/internal/core/effects_test.go
+++ b/internal/core/effects_test.go
@@ -116,6 +116,7 @@
 // only the first renews leases.
 func (in *instance) watch(e *core.Watch) {
 	w := in.w
+	w.watchers[in.self.DataCentre] = in
 	req := e.Request
 	ev := &core.Watched{Worker: e.Worker, Epoch: req.Epoch, SentAt: in.now()}
 	fail := func() { in.later(callTimeout, core.Event{Watched: ev}) }
--- a/internal/core/histories_test.go
+++ b/internal/core/histories_test.go
@@ -1,10 +1,13 @@
 package core_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -78,6 +81,7 @@
 		return
 	}
 	var lines []string
+	slices.SortStableFunc(w.trace, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	for _, s := range w.trace {
 		if l := s.String(); l != "" && strings.Contains(l, grep) {
 			lines = append(lines, l)
@@ -123,6 +127,7 @@
 }
 
 func TestMain(m *testing.M) {
+	debug.SetGCPercent(400)         // many small histories; a history holds a few MB
 	_ = flag.Set("rapid.seed", "7") // before parsing, so that it can be overridden
 	flag.Parse()
 	os.Exit(m.Run())
