Workers echo the hash of a key's request

Cause: an intent that only electors held was lost with them, and the new owner learnt the key from a worker's report, which had no hash of the request. A caller with another request under the key was given the first one's result. Ruled out: the log, which never had the intent. Change: the task's spec carries the hash, and reports echo it. Conclusion: a key that is known from a report still belongs to its request.

--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -275,7 +275,7 @@
 	return model.TaskSpec{
 		ID: t.id, Job: j.id, Index: t.index, Attempt: t.number, Service: j.svc.Name,
 		Operation: j.sub.Operation, Class: j.svc.Class, Team: j.svc.Team, Key: j.sub.Key,
-		Resources: j.need, MaxRun: j.svc.MaxRunTime,
+		RequestHash: j.hash, Resources: j.need, MaxRun: j.svc.MaxRunTime,
 	}
 }
 
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -365,7 +365,7 @@
 	}
 	// An interactive task of a former owner: its caller's instance forwards the
 	// request again and finds it here.
-	j = newJob(s.Job, model.Submission{Service: s.Service, Operation: s.Operation, Key: s.Key}, 0)
+	j = newJob(s.Job, model.Submission{Service: s.Service, Operation: s.Operation, Key: s.Key}, s.RequestHash)
 	c.adoptService(j, svc)
 	j.need = s.Resources
 	j.adopted = true
@@ -490,7 +490,7 @@
 // keyedIntentOf rebuilds an intent from what a worker echoes.
 func keyedIntentOf(s model.TaskSpec) record.Intent {
 	return record.Intent{
-		Service: s.Service, Key: s.Key, Job: s.Job, Task: s.ID, Attempt: s.Attempt, Resources: s.Resources,
+		Service: s.Service, Key: s.Key, RequestHash: s.RequestHash, Job: s.Job, Task: s.ID, Attempt: s.Attempt, Resources: s.Resources,
 	}
 }
 
--- a/internal/model/work.go
+++ b/internal/model/work.go
@@ -56,17 +56,20 @@
 // TaskSpec is everything that a worker is told about a task. Reports echo it,
 // so that a new owner can adopt a task that it has no other record of.
 type TaskSpec struct {
-	ID        TaskID        `json:"id"`
-	Job       JobID         `json:"job"`
-	Index     int           `json:"index"`
-	Attempt   int           `json:"attempt"`
-	Service   string        `json:"service"`
-	Operation string        `json:"operation,omitempty"`
-	Class     Class         `json:"class"`
-	Team      string        `json:"team,omitempty"`
-	Key       Key           `json:"key,omitempty"`
-	Resources Resources     `json:"resources"`
-	MaxRun    time.Duration `json:"max_run,omitempty"` // zero: no limit
+	ID        TaskID `json:"id"`
+	Job       JobID  `json:"job"`
+	Index     int    `json:"index"`
+	Attempt   int    `json:"attempt"`
+	Service   string `json:"service"`
+	Operation string `json:"operation,omitempty"`
+	Class     Class  `json:"class"`
+	Team      string `json:"team,omitempty"`
+	Key       Key    `json:"key,omitempty"`
+	// RequestHash lets an owner that knows a key only from a report refuse
+	// another request under it.
+	RequestHash uint64        `json:"request_hash,omitempty"`
+	Resources   Resources     `json:"resources"`
+	MaxRun      time.Duration `json:"max_run,omitempty"` // zero: no limit
 }
 
 // TaskState is the state of a task at its worker.
