--- a/internal/core/callers_test.go
+++ b/internal/core/callers_test.go
@@ -134,6 +134,11 @@
 		c.w.after(100*time.Millisecond, func() { c.call(kind, sub, id, wait, then) })
 		return
 	}
+	c.callAt(in, kind, sub, id, wait, then)
+}
+
+// callAt makes one call through the given instance.
+func (c *callers) callAt(in *instance, kind message.ForwardKind, sub model.Submission, id model.JobID, wait time.Duration, then func(*attempt)) {
 	c.n++
 	a := &attempt{
 		id: model.RequestID(fmt.Sprintf("r%d", c.n)), in: in, kind: kind, sub: sub, job: id, begin: c.w.now(), then: then,
@@ -179,7 +184,10 @@
 
 // booking submits a non-idempotent request until it has an end, at times by
 // two callers at once or with another body.
-func (c *callers) booking() {
+func (c *callers) booking() { c.bookingFor(nil) }
+
+// bookingFor is booking with its first call at one instance, if it is given.
+func (c *callers) bookingFor(first *instance) {
 	c.n++
 	key := model.Key(fmt.Sprintf("key-%d", c.n))
 	body, _ := c.body(5*time.Millisecond, 900*time.Millisecond)
@@ -192,12 +200,17 @@
 			sub.Body = other
 		}
 		tries++
-		c.call(message.ForwardRequest, sub, "", 0, func(a *attempt) {
+		then := func(a *attempt) {
 			ended := a.answer != nil && (a.answer.Outcome == model.OutcomeDone || a.answer.Outcome == model.OutcomeFailed)
 			if (!ended || c.w.chance(0.2)) && tries < 25 {
 				c.w.after(c.w.between(time.Millisecond, time.Second), try)
 			}
-		})
+		}
+		if tries == 1 && first != nil && !first.dead && !first.exited {
+			c.callAt(first, message.ForwardRequest, sub, "", 0, then)
+			return
+		}
+		c.call(message.ForwardRequest, sub, "", 0, then)
 	}
 	try()
 	if c.w.chance(0.2) {
@@ -212,6 +225,12 @@
 	c.call(message.ForwardRequest, model.Submission{Service: "preview", Body: body}, "", 0, func(*attempt) {})
 }
 
+// previewAt submits an idempotent request through one instance.
+func (c *callers) previewAt(in *instance) {
+	body, _ := c.body(50*time.Millisecond, 400*time.Millisecond)
+	c.callAt(in, message.ForwardRequest, model.Submission{Service: "preview", Body: body}, "", 0, func(*attempt) {})
+}
+
 // batch submits a job and asks for it until it has ended.
 func (c *callers) batch(service string, tasks int) {
 	body, result := c.body(50*time.Millisecond, 1500*time.Millisecond)
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -123,6 +123,9 @@
 		return func() { w.faults.ghosts = nil }
 	}},
 	{"drain", (*world).drain},
+	{"isolation in steps", (*world).isolate},
+	{"pause with starts under way", (*world).pauseStarts},
+	{"holder out of reach", (*world).cutHolder},
 	{"cancellations", func(w *world) func() { w.calls.cancelSome(); return func() {} }},
 	{"publishers", func(w *world) func() {
 		for range 3 {
@@ -149,7 +152,7 @@
 	}
 	for _, k := range kinds {
 		for range 1 + w.rng.IntN(3) {
-			at := w.between(faultsFrom, faultsUntil-time.Second)
+			at := w.between(faultsFrom, faultsUntil-5*time.Second)
 			for_ := min(w.between(100*time.Millisecond, 8*time.Second), faultsUntil-at)
 			if w.chance(0.3) {
 				for_ = min(for_, w.between(50*time.Millisecond, 2*time.Second))
@@ -202,6 +205,112 @@
 	return func() {}
 }
 
+// burst makes calls of one kind through one instance, 20 ms apart.
+func (w *world) burst(in *instance, from, d time.Duration, call func(*instance)) {
+	for at := from; at < from+d; at += 20 * time.Millisecond {
+		w.after(at, func() {
+			if !in.dead && !in.exited {
+				call(in)
+			}
+		})
+	}
+}
+
+// peers returns the instances of a data centre but one, and one of them.
+func (w *world) peers(in *instance) (all []*instance, one *instance) {
+	for _, address := range w.order {
+		if p := w.insts[address]; p.self.DataCentre == in.self.DataCentre && p != in {
+			all = append(all, p)
+		}
+	}
+	return all, all[w.rng.IntN(len(all))]
+}
+
+// isolate cuts an owner off from its peers and, when they are about to take
+// over, from the log, while callers and workers still reach it. Its evidence
+// then ends as late as it can.
+func (w *world) isolate() func() {
+	in := w.anyInstance()
+	all, other := w.peers(in)
+	w.note("isolate %s", in.self.Incarnation)
+	for _, p := range all {
+		w.faults.links[pair(in, p)] = linkSilent
+	}
+	w.faults.startLate = 0.5
+	out := w.between(500*time.Millisecond, 1400*time.Millisecond)
+	w.after(out, func() { w.faults.logs[in.self.Address]++ })
+	w.burst(in, out, 1500*time.Millisecond, w.calls.previewAt)
+	w.burst(other, out, 3*time.Second, w.calls.previewAt)
+	w.after(5*time.Second, func() {
+		w.faults.logs[in.self.Address]--
+		w.faults.startLate = 0
+		for _, p := range all {
+			delete(w.faults.links, pair(in, p))
+		}
+	})
+	return func() {}
+}
+
+// pauseStarts pauses an instance while its starts are about to leave.
+func (w *world) pauseStarts() func() {
+	in := w.anyInstance()
+	_, other := w.peers(in)
+	for range 8 {
+		w.calls.previewAt(in)
+	}
+	w.after(w.between(0, time.Millisecond), func() {
+		in.paused = max(in.paused, w.now()+w.between(time.Second, 6*time.Second))
+		w.note("pause %s until %v", in.self.Incarnation, in.paused)
+	})
+	w.burst(other, time.Second, 4*time.Second, w.calls.previewAt)
+	return func() {}
+}
+
+// cutHolder kills an owner while the log is out and a peer holds its intents,
+// and keeps that peer and some workers from the successor.
+func (w *world) cutHolder() func() {
+	in := w.anyInstance()
+	if in.dead || in.exited {
+		return func() {}
+	}
+	all, _ := w.peers(in)
+	dc := string(in.self.DataCentre)
+	w.faults.logs[dc]++
+	for range 4 {
+		w.after(w.between(500*time.Millisecond, 1400*time.Millisecond), func() { w.calls.bookingFor(in) })
+	}
+	w.after(1500*time.Millisecond, func() {
+		w.faults.logs[dc]--
+		if in.dead || in.exited || len(all) != 2 {
+			return
+		}
+		w.note("kill %s, silence between the others", in.self.Incarnation)
+		in.dead = true
+		w.calls.gone(in)
+		w.faults.links[pair(all[0], all[1])] = linkSilent
+		var cut []string
+		for _, address := range w.names {
+			if w.workers[address].dc == in.self.DataCentre && w.chance(0.5) {
+				cut = append(cut, address)
+				w.faults.upstreams[[2]string{address, ""}]++
+			}
+		}
+		w.after(5*time.Second, func() {
+			delete(w.faults.links, pair(all[0], all[1]))
+			for _, address := range cut {
+				w.faults.upstreams[[2]string{address, ""}]--
+			}
+			w.replace(in)
+		})
+	})
+	return func() {}
+}
+
+// pair is the key of the link between two instances.
+func pair(a, b *instance) [2]string {
+	return [2]string{min(a.self.Address, b.self.Address), max(a.self.Address, b.self.Address)}
+}
+
 func (w *world) silence() func() {
 	a, b := w.order[w.rng.IntN(len(w.order))], w.order[w.rng.IntN(len(w.order))]
 	k := [2]string{min(a, b), max(a, b)}
