Settle a takeover only by workers that are known

Cause: a new owner checked whether every worker had reported before it had taken over the list of workers. Over no workers the check held at once, so each takeover was settled at its start. A key whose intent only electors held, or whose outcome was not logged, could then be started a second time. Ruled out: the electors' memory and its majority; the electors were dead or out of reach, and the owner has to wait for the workers in that case. Change: the list comes first, and no workers are not all workers. Conclusion: a key that is not known waits for the electors or every worker.

--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -69,8 +69,10 @@
 	if c.text != nil {
 		c.applyText()
 	}
-	c.startConsult()
+	// The workers must be known before the consult: it may find that all of
+	// them have reported.
 	c.syncWorkers()
+	c.startConsult()
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
 		if j.durable && j.answer == nil {
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -445,8 +445,8 @@
 // allWorkersReported reports whether every known worker has been fenced and
 // has reported to this owner.
 func (c *Core) allWorkersReported() bool {
-	if !c.vmsListed {
-		return false
+	if !c.vmsListed || len(c.own.workers) == 0 {
+		return false // tasks may run on workers that are not known yet
 	}
 	for _, w := range c.own.workers {
 		if !w.cleared {
