--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -97,6 +97,8 @@
 	case e.Answer != nil && e.Answer.Outcome != model.OutcomeNotRun:
 		return Conflict
 	}
+	// After "not run" the key may belong to another request.
+	e.Hash = in.RequestHash
 	e.Attempt, e.Intent, e.Answer, e.Logged, e.At = in.Attempt, in, nil, false, now
 	return Accepted
 }
@@ -128,6 +130,9 @@
 	if a.Outcome == model.OutcomeNotRun && o.Attempt < e.Attempt {
 		return
 	}
+	if o.Attempt > e.Attempt && o.RequestHash != 0 {
+		e.Hash = o.RequestHash
+	}
 	e.Answer, e.Logged, e.At = &a, false, now
 	e.Attempt = max(e.Attempt, o.Attempt)
 }
