Queue batch stragglers again so that short work gets their slots

Cause: a straggler of the same operation is not known before it runs. With 5% stragglers of 100 times the length they took all slots of the quota, and short work waited like in one first-come queue. Change: batch tasks that turned out to be stragglers and hold more than the stragglers' share while other batch work waits are checkpointed and wait for a slot of the share. Each is moved once; raised jobs are spared.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -101,6 +101,7 @@
 
 	stopping  bool
 	preempted bool
+	straggler bool // ran over the straggler limit and was queued again
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
@@ -145,7 +146,7 @@
 	if t.j.svc.Class == model.ClassBatch || t.j.svc.Class == model.ClassGang {
 		it.Deadline = c.now.Add(t.j.deadlineAt.Sub(c.wall))
 	}
-	it.Data = t
+	it.Data, it.Straggler = t, t.straggler
 	t.queued = c.now
 	if it.Class == model.ClassInteractive {
 		c.own.queue.Arrived(it, c.now)
@@ -177,6 +178,7 @@
 	if c.now >= o.nextServices {
 		o.nextServices = c.now.Add(serviceInterval)
 		c.reconcileServices()
+		c.demoteStragglers()
 		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
 		c.evacuate()
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -203,6 +203,28 @@
 	c.control(w, worker.ActionCheckpoint, ids)
 }
 
+// demoteStragglers checkpoints batch tasks that turned out to be stragglers and
+// hold more than their share, so that shorter work gets the slots. They wait for
+// a slot of the stragglers' share. Running for long does not count as an
+// attempt.
+func (c *Core) demoteStragglers() {
+	byWorker := make(map[model.WorkerName][]model.TaskID)
+	for _, id := range c.own.queue.Demote(c.now) {
+		t := c.own.tasks[id]
+		if t == nil || t.phase != phaseRunning || t.stopping || t.j.keyed {
+			continue
+		}
+		t.stopping, t.preempted, t.straggler = true, true, true
+		byWorker[t.worker] = append(byWorker[t.worker], id)
+		c.count("stragglers_demoted", "", 1)
+	}
+	for _, name := range sortedKeys(byWorker) {
+		if w := c.own.workers[name]; w != nil {
+			c.control(w, worker.ActionCheckpoint, byWorker[name])
+		}
+	}
+}
+
 // start binds a task to a worker.
 func (c *Core) start(t *task, name model.WorkerName, it *queue.Item) {
 	o := c.own
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -100,7 +100,8 @@
 	}
 	n := &task{
 		j: j, index: t.index, attempts: t.attempts, resume: t.resume, queued: t.queued,
-		avoid: append([]model.WorkerName(nil), t.avoid...), readyAt: c.now.Add(delay),
+		straggler: t.straggler,
+		avoid:     append([]model.WorkerName(nil), t.avoid...), readyAt: c.now.Add(delay),
 	}
 	if t.worker != "" && !t.preempted {
 		n.avoid = append(n.avoid, t.worker)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -17,9 +17,10 @@
 	Need      model.Resources // of one task
 	Deadline  model.Time      // zero: none
 	Enqueued  model.Time
-	Gang      int // tasks in the gang, 0 otherwise
-	Weight    int // more than 1 makes the item count as that much shorter
-	Data      any // the caller's own
+	Gang      int  // tasks in the gang, 0 otherwise
+	Weight    int  // more than 1 makes the item count as that much shorter
+	Straggler bool // it ran over the straggler limit once and was queued again
+	Data      any  // the caller's own
 }
 
 // Verdict is what the caller did with an item that Schedule offered.
@@ -65,7 +66,7 @@
 	class              model.Class
 	service, operation string
 	need               model.Resources
-	raised             bool
+	raised, straggler  bool
 }
 
 // flow is one ordered queue of similar items.
@@ -208,7 +209,7 @@
 // the items of one service share a flow, in which a large demand may hold up a
 // smaller one.
 func (q *Queue) flowOf(it *Item) *flow {
-	k := flowKey{it.Class, it.Service, it.Operation, it.Need, it.Class != model.ClassInteractive && q.raised[it.Job]}
+	k := flowKey{it.Class, it.Service, it.Operation, it.Need, it.Class != model.ClassInteractive && q.raised[it.Job], it.Straggler}
 	f := q.flows[k]
 	if f == nil && len(q.flows) >= q.cfg.MaxFlows {
 		k.operation, k.need = "", model.Resources{}
--- a/internal/queue/running.go
+++ b/internal/queue/running.go
@@ -17,6 +17,7 @@
 	started    map[model.Class][]*run // in order of start; dead ones are skipped
 	slots      int64                  // of all usable workers
 	stragglers int64                  // slots that stragglers hold
+	over       []*run                 // batch tasks that ran over the limit, in that order; dead ones are skipped
 	drain      int64                  // expected ends per drainUnit
 	use        model.Resources        // of interactive tasks
 }
@@ -59,7 +60,7 @@
 		u.drain = int64(drainUnit / max(d, time.Microsecond))
 		r.drain += u.drain
 	}
-	if q.straggles(flowKey{class: it.Class, service: it.Service, operation: it.Operation}) {
+	if it.Straggler || q.straggles(flowKey{class: it.Class, service: it.Service, operation: it.Operation}) {
 		r.mark(u)
 		return
 	}
@@ -90,6 +91,9 @@
 			u.drain = 0
 			u.late = q.stats.op(opKey{u.it.Service, u.it.Operation})
 			u.late.late++
+			if class == model.ClassBatch {
+				r.over = append(r.over, u)
+			}
 		}
 		if len(list) > 2*len(r.byTask)+compactAt {
 			// The first task may run for long while later ones end.
--- a/internal/queue/schedule.go
+++ b/internal/queue/schedule.go
@@ -95,7 +95,7 @@
 		}
 		kept = append(kept, f)
 		f.assumed = q.stats.assumedOf(q.opOf(f), class)
-		f.straggler = !f.firstCome && !f.key.raised && limit > 0 && f.assumed > limit
+		f.straggler = !f.firstCome && !f.key.raised && limit > 0 && (f.assumed > limit || f.key.straggler)
 		c := candidate{f: f}
 		if c.refresh() {
 			h.a = append(h.a, c)
--- a/samples/load/run.sh
+++ b/samples/load/run.sh
@@ -18,7 +18,10 @@
 port=${PORT:-20000} dc=${DC:-tartu}
 mkdir -p "$out"
 pids=() names=()
-stop() { for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done; }
+stop() { # waits, so that the ports are free for the next run
+  for p in "${pids[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
 trap stop EXIT
 start() { # name command...
   local name=$1
