--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -414,22 +414,3 @@
 		}
 	}
 }
-
-// forecastJobs raises batch jobs whose forecast misses their deadline.
-func (c *Core) forecastJobs() {
-	o := c.own
-	for _, id := range sortedKeys(c.jobs) {
-		j := c.jobs[id]
-		if j.answer != nil || !j.durable || j.svc.Class != model.ClassBatch {
-			continue
-		}
-		n := j.counts()
-		j.forecast = o.queue.Forecast(id, n.Waiting+n.Running, j.sub.Service, j.sub.Operation, n.Running, c.now)
-		risk := j.forecast > 0 && c.wall.Add(j.forecast).After(j.deadlineAt)
-		if risk != j.atRisk {
-			j.atRisk = risk
-			o.queue.Raise(id, risk)
-			c.count("jobs_raised", "", 1)
-		}
-	}
-}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -100,7 +100,9 @@
 		Team: j.svc.Team, Need: j.need, Avoid: t.avoid, Reserve: reserve,
 		FirstFit: c.cfg.Baseline,
 	}
-	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService {
+	// Work that would miss its deadline uses the headroom too. Interactive work
+	// that needs the room gets it back by preemption.
+	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService || j.atRisk {
 		r.Reserve = model.Resources{}
 	}
 	return r
