--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -95,6 +95,7 @@
 	queued   model.Time
 	placed   model.Time
 	acked    model.Time // when the worker's acceptance was received
+	sendBy   model.Time // until which the driver may send the start
 	readyAt  model.Time // end of the backoff
 	avoid    []model.WorkerName
 	resume   []byte
@@ -102,6 +103,7 @@
 	superseded bool // another attempt was started beside this one, which is in doubt
 	stopping   bool
 	preempted  bool
+	straggler  bool // ran over the straggler limit and was queued again
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
@@ -146,7 +148,7 @@
 	if t.j.svc.Class == model.ClassBatch || t.j.svc.Class == model.ClassGang {
 		it.Deadline = c.now.Add(t.j.deadlineAt.Sub(c.wall))
 	}
-	it.Data = t
+	it.Data, it.Straggler = t, t.straggler
 	t.queued = c.now
 	if it.Class == model.ClassInteractive {
 		c.own.queue.Arrived(it, c.now)
@@ -178,6 +180,7 @@
 	if c.now >= o.nextServices {
 		o.nextServices = c.now.Add(serviceInterval)
 		c.reconcileServices()
+		c.demoteStragglers()
 		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
 		c.evacuate()
@@ -413,22 +416,3 @@
 		}
 	}
 }
-
-// forecastJobs raises batch jobs whose forecast misses their deadline.
-func (c *Core) forecastJobs() {
-	o := c.own
-	for _, id := range sortedKeys(c.jobs) {
-		j := c.jobs[id]
-		if j.answer != nil || !j.durable || j.svc.Class != model.ClassBatch {
-			continue
-		}
-		n := j.counts()
-		j.forecast = o.queue.Forecast(id, n.Waiting+n.Running, j.sub.Service, j.sub.Operation, n.Running, c.now)
-		risk := j.forecast > 0 && c.wall.Add(j.forecast).After(j.deadlineAt)
-		if risk != j.atRisk {
-			j.atRisk = risk
-			o.queue.Raise(id, risk)
-			c.count("jobs_raised", "", 1)
-		}
-	}
-}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -115,7 +115,9 @@
 		Team: j.svc.Team, Need: j.need, Avoid: t.avoid, Reserve: reserve,
 		FirstFit: c.cfg.Baseline,
 	}
-	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService {
+	// Work that would miss its deadline uses the headroom too. Interactive work
+	// that needs the room gets it back by preemption.
+	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService || j.atRisk {
 		r.Reserve = model.Resources{}
 	}
 	return r
@@ -218,6 +220,28 @@
 	c.control(w, worker.ActionCheckpoint, ids)
 }
 
+// demoteStragglers checkpoints batch tasks that turned out to be stragglers and
+// hold more than their share, so that shorter work gets the slots. They wait for
+// a slot of the stragglers' share. Running for long does not count as an
+// attempt.
+func (c *Core) demoteStragglers() {
+	byWorker := make(map[model.WorkerName][]model.TaskID)
+	for _, id := range c.own.queue.Demote(c.now) {
+		t := c.own.tasks[id]
+		if t == nil || t.phase != phaseRunning || t.stopping || t.j.keyed {
+			continue
+		}
+		t.straggler = true
+		byWorker[t.worker] = append(byWorker[t.worker], id)
+		c.count("stragglers_demoted", "", 1)
+	}
+	for _, name := range sortedKeys(byWorker) {
+		if w := c.own.workers[name]; w != nil {
+			c.checkpoint(w, byWorker[name])
+		}
+	}
+}
+
 // start binds a task to a worker.
 func (c *Core) start(t *task, name model.WorkerName, it *queue.Item) {
 	o := c.own
@@ -319,8 +343,9 @@
 	if !t.j.keyed {
 		t.notAfter = c.notAfter(w)
 	}
+	t.sendBy = c.lease.ActUntil(c.now)
 	c.count("task_starts", string(t.j.svc.Class), 1)
-	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: c.lease.ActUntil(c.now), Request: worker.StartRequest{
+	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: t.sendBy, Request: worker.StartRequest{
 		Epoch: c.own.epoch, Boot: t.boot, NotAfter: t.notAfter, Lease: c.cfg.Timing.TaskLease,
 		Spec: t.spec(), Body: t.j.sub.Body, Resume: t.resume,
 	}}})
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -19,6 +19,8 @@
 		return // a report was faster
 	}
 	switch {
+	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil && c.restartedSince(t):
+		c.inDoubt(t) // it may have started before the restart or after
 	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil:
 		t.phase, t.acked = phaseRunning, c.now
 		c.taskAccepted(t)
@@ -101,7 +103,8 @@
 	}
 	n := &task{
 		j: j, index: t.index, attempts: t.attempts, resume: t.resume, queued: t.queued,
-		avoid: append([]model.WorkerName(nil), t.avoid...), readyAt: c.now.Add(delay),
+		straggler: t.straggler,
+		avoid:     append([]model.WorkerName(nil), t.avoid...), readyAt: c.now.Add(delay),
 	}
 	if t.worker != "" && !t.preempted {
 		n.avoid = append(n.avoid, t.worker)
@@ -255,7 +258,9 @@
 	case r.Status.State != model.TaskNotKnown:
 		c.taskReported(t, r.Status)
 	case t.boot != "" && r.Boot != t.boot:
-		c.lost(t, "the worker restarted")
+		if c.guarded(t.worker) || c.now > t.sendBy.Add(c.cfg.Timing.StartGrace) {
+			c.lost(t, "the worker restarted")
+		}
 	case c.guarded(t.worker) && r.Clock > t.notAfter:
 		// The worker refuses the start from now on, so it never runs.
 		c.count("doubts_not_run", "", 1)
@@ -266,6 +271,15 @@
 	}
 }
 
+// restartedSince reports whether the worker of a task has another boot than
+// when the task was placed.
+func (c *Core) restartedSince(t *task) bool {
+	w := c.own.workers[t.worker]
+	return w != nil && t.boot != "" && w.boot != t.boot
+}
+
+// guarded reports whether a worker itself refuses starts that come late or
+// were meant for another boot.
 func (c *Core) guarded(name model.WorkerName) bool {
 	w := c.own.workers[name]
 	return w != nil && w.guarded
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -26,6 +26,7 @@
 	reach         bool
 	renewed       model.Time // latest time at which a lease renewal may have arrived
 	watching      bool
+	watchedAt     model.Time // when the last watch was ordered; answers to earlier ones are late
 	nextTry       model.Time
 	capacity      model.Resources
 	suspect       bool // did not answer its last start
@@ -85,7 +86,7 @@
 // last call gets no lease renewal, so that the end of its tasks' leases can be
 // told from here.
 func (c *Core) watch(w *workerState) {
-	w.watching = true
+	w.watching, w.watchedAt = true, c.now
 	req := worker.WatchRequest{Epoch: c.own.epoch, After: w.seq, Boot: w.boot, Wait: c.cfg.Timing.WatchWait}
 	if w.reach || w.renewed == 0 {
 		req.Lease = c.cfg.Timing.TaskLease
@@ -219,10 +220,13 @@
 	if w == nil {
 		return
 	}
-	w.watching = false
 	if w.reach || w.renewed == 0 {
 		w.renewed = c.now
 	}
+	if ev.SentAt < w.watchedAt {
+		return // another watch was ordered since
+	}
+	w.watching = false
 	if ev.Report == nil || ev.Epoch > c.own.epoch {
 		c.watchFailed(w)
 		return
@@ -301,7 +305,8 @@
 	c.count("worker_restarts", "", 1)
 	c.change("worker", string(w.name), "", "restarted")
 	for _, id := range c.tasksOn(w.name) {
-		if t := c.own.tasks[id]; t != nil && t.phase != phaseIntent {
+		// A start that is on its way, or was, may still reach the worker.
+		if t := c.own.tasks[id]; t != nil && t.phase == phaseRunning {
 			c.lost(t, "the worker restarted")
 		}
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -133,6 +133,9 @@
 	if a.Outcome == model.OutcomeNotRun && o.Attempt < e.Attempt {
 		return
 	}
+	if o.Attempt > e.Attempt && o.RequestHash != 0 {
+		e.Hash = o.RequestHash
+	}
 	e.Answer, e.Logged, e.At = &a, false, now
 	e.Attempt = max(e.Attempt, o.Attempt)
 }
