A restart does not settle a start under way to an unguarded worker

Cause: a report with another boot id released every task of the worker. A start that was still under way was then taken by the restarted worker, which checks no boot id if it is unguarded, and its capacity was given away twice. Ruled out: two owners; the same instance owned the data centre throughout. Change: such a start keeps its resources until its own answer; one that was accepted across a restart is in doubt until the worker is asked. Conclusion: a restart releases only what the worker can't run any more.

--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -18,7 +18,10 @@
 	if t == nil || t.phase != phaseStarting {
 		return // a report was faster
 	}
+	w := c.own.workers[t.worker]
 	switch {
+	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil && w != nil && w.boot != t.boot:
+		c.inDoubt(t) // accepted before or after a restart
 	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil:
 		t.phase, t.acked = phaseRunning, c.now
 		c.taskAccepted(t)
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -286,9 +286,11 @@
 	c.count("worker_restarts", "", 1)
 	c.change("worker", string(w.name), "", "restarted")
 	for _, id := range c.tasksOn(w.name) {
-		if t := c.own.tasks[id]; t != nil && t.phase != phaseIntent {
-			c.lost(t, "the worker restarted")
+		t := c.own.tasks[id]
+		if t == nil || t.phase == phaseIntent || (t.phase == phaseStarting && !w.guarded) {
+			continue // an unguarded worker may take a start that is under way
 		}
+		c.lost(t, "the worker restarted")
 	}
 	w.reported, w.cleared, w.clearing, w.seq = false, false, false, 0
 }
