--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -254,6 +254,9 @@
 // pauseStarts pauses an instance while its starts are about to leave.
 func (w *world) pauseStarts() func() {
 	in := w.anyInstance()
+	if in.dead || in.exited {
+		return func() {}
+	}
 	_, other := w.peers(in)
 	for range 8 {
 		w.calls.previewAt(in)
