An owner that hears nobody must not live on its own voucher

Ruled out: a wait that is too short; both owners had valid evidence. Change: a silent elector is left out of a claim only when it is gone for good (its address has another incarnation, or it is silent and unlisted for 30 s); vouchers must come from a majority of all instances that are known; an owner whose claim went ahead without consent gives no work to unguarded workers until so many former electors consented, know the new epoch or are gone that the rest is no majority. TestOwnNextClaim now says that b is gone before a claim leaves it out.

--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -187,7 +187,21 @@
 	if r.Guarded || c.own.epoch == 1 {
 		return true
 	}
-	return c.own.actingSince != 0 && sentAt >= c.own.actingSince.Add(c.cfg.Timing.StartGrace)
+	from, ok := c.clearFrom()
+	return ok && sentAt >= from
+}
+
+// clearFrom returns the time from which no start of a former owner can reach an
+// unguarded worker any more. It is false while a former owner may still act on
+// vouchers: it knows nothing of this epoch, and such a worker does not refuse
+// it.
+func (c *Core) clearFrom() (model.Time, bool) {
+	safe, ok := c.lease.SafeSince()
+	if !ok || c.own.actingSince == 0 {
+		return 0, false
+	}
+	from := max(c.own.actingSince, safe.Add(c.cfg.Timing.Lease+c.cfg.Timing.Margin))
+	return from.Add(c.cfg.Timing.StartGrace), true
 }
 
 // clearWorkers asks unguarded workers for a full report once it counts.
@@ -195,7 +209,7 @@
 	if c.own.actingSince == 0 {
 		c.own.actingSince = c.now
 	}
-	if c.now < c.own.actingSince.Add(c.cfg.Timing.StartGrace) {
+	if from, ok := c.clearFrom(); !ok || c.now < from {
 		return
 	}
 	for _, name := range sortedKeys(c.own.workers) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -24,6 +24,9 @@
 	// farRounds is how many turns of all far targets may pass without a word of
 	// an instance: two lost heartbeats, and transit.
 	farRounds = 2.5
+	// goneAfter is how long an instance must be silent and missing from the list
+	// to count as ended. It covers a list that lacks it by mistake for a while.
+	goneAfter = 30 * time.Second
 	// forgetAfter is how long an instance that is neither heard nor listed is
 	// remembered, and how long a superseded incarnation stays refused. It is
 	// well above any message's delay.
@@ -88,6 +91,7 @@
 	superseded   map[model.Incarnation]model.Time
 	listed       map[string]model.VM // entry VMs of the newest list that had any, by address
 	workers      map[model.WorkerName]*workerEntry
+	absent       map[string]model.Time // by address of an instance: since when lists lack it
 }
 
 // New returns the view of an instance that has heard nothing yet.
@@ -98,6 +102,7 @@
 		superseded: map[model.Incarnation]model.Time{},
 		listed:     map[string]model.VM{},
 		workers:    map[model.WorkerName]*workerEntry{},
+		absent:     map[string]model.Time{},
 	}
 }
 
@@ -166,6 +171,7 @@
 	}
 	if len(listed) > 0 {
 		v.listed = listed
+		v.noteAbsent()
 	}
 	if len(workers) > 0 {
 		v.mergeWorkers(workers)
@@ -173,6 +179,56 @@
 	v.forget()
 }
 
+// noteAbsent notes since when the list lacks the instances that were heard.
+func (v *View) noteAbsent() {
+	for a := range v.listed {
+		delete(v.absent, a)
+	}
+	for _, e := range v.entries {
+		a := e.member.Address
+		if _, ok := v.listed[a]; ok {
+			continue
+		}
+		if _, ok := v.absent[a]; !ok {
+			v.absent[a] = v.now
+		}
+	}
+}
+
+// Gone reports whether a member has ended for good: its address has another
+// incarnation, or it has been silent and missing from the list for long.
+func (v *View) Gone(m model.Member) bool {
+	if m.Incarnation == v.cfg.Self.Incarnation {
+		return false
+	}
+	if _, old := v.superseded[m.Incarnation]; old || m.Address == v.cfg.Self.Address {
+		return true
+	}
+	for inc, e := range v.entries {
+		if inc != m.Incarnation && e.member.Address == m.Address && e.heard != none {
+			return true
+		}
+	}
+	since, ok := v.absent[m.Address]
+	if !ok || v.now.Sub(since) < goneAfter {
+		return false
+	}
+	e := v.entries[m.Incarnation]
+	return e == nil || e.heard == none || v.now.Sub(e.heard) >= goneAfter
+}
+
+// Known returns the number of instances of the own data centre that are listed
+// or were heard, this one included.
+func (v *View) Known() int {
+	n := 1
+	for _, c := range v.candidates(v.cfg.Self.DataCentre) {
+		if _, ok := v.listed[c.member.Address]; ok || c.entry != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (v *View) mergeWorkers(listed map[model.WorkerName]model.VM) {
 	for name, vm := range listed {
 		w := Worker{Name: name, Address: vm.Address, Rack: vm.Rack, Leaving: vm.Leaving}
--- a/internal/ownership/evidence.go
+++ b/internal/ownership/evidence.go
@@ -56,7 +56,9 @@
 			dates = append(dates, t)
 		}
 	}
-	need := Majority(len(electors))
+	// An instance that hears nobody must not live on its own voucher while
+	// others exist, which may claim without its consent.
+	need := Majority(max(len(electors), s.known))
 	if len(dates) < need {
 		return none
 	}
--- a/internal/ownership/fold.go
+++ b/internal/ownership/fold.go
@@ -57,8 +57,10 @@
 	}
 	if !sameOwner {
 		clear(s.vouchers)
-		if c.Owner.Incarnation == self && s.claim != nil {
-			s.prevElectors = s.claim.Electors
+		if c.Owner.Incarnation == self {
+			s.prevElectors = s.electors()
+			s.takenAt, s.afterRelease = c.Epoch, first || s.released
+			s.safeSince = none
 		}
 	}
 	s.epoch, s.claim, s.released = c.Epoch, &c, false
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -21,6 +21,7 @@
 		s.learnOwner(epoch, from)
 	}
 	s.SeenEpoch(now, hb.Epoch)
+	s.pass(from.Incarnation, hb.Epoch)
 	if !hb.Owner || epoch < s.seen || (epoch == s.epoch && !s.inForce(from)) {
 		return false
 	}
@@ -42,6 +43,7 @@
 // OnHeartbeatReply takes the reply to an own heartbeat.
 func (s *State) OnHeartbeatReply(now model.Time, from model.Member, r message.HeartbeatReply) {
 	s.touch(now)
+	s.pass(from.Incarnation, r.Epoch)
 	ownNext := r.Owner != nil && r.Owner.Incarnation == s.cfg.Self.Incarnation
 	if r.Epoch > s.epoch && !ownNext {
 		if r.Owner != nil && r.Epoch >= s.seen {
@@ -98,6 +100,7 @@
 	}
 	if r.Granted {
 		s.asking.grants[from.Incarnation] = true
+		s.pass(from.Incarnation, r.Epoch)
 		return
 	}
 	s.asking.refusedAt = now
--- a/internal/ownership/rules_test.go
+++ b/internal/ownership/rules_test.go
@@ -112,6 +112,7 @@
 func TestOwnNextClaim(t *testing.T) {
 	is := is.New(t)
 	s := member(a)
+	s.SetMembers(3, func(m model.Member) bool { return m.Incarnation == b.Incarnation })
 	got, at := claims(s, 0, 3, true, a, c)
 	is.Equal(len(got), 3) // at most once a second, until it is read back
 	is.True(s.MayAct(at))
--- a/internal/ownership/state.go
+++ b/internal/ownership/state.go
@@ -110,6 +110,13 @@
 	released     bool          // epoch was released
 	prevElectors []model.Member
 	safeFrom     model.Time // when no earlier owner has evidence any more, at the latest
+	takenAt      uint64     // epoch in which this instance took the lease from another
+	afterRelease bool       // it was vacant or released then
+	safeSince    model.Time // see SafeSince
+
+	// What is known of other members.
+	known  int
+	passed map[model.Incarnation]uint64 // vouches for no epoch below this one
 
 	// The log as a source of evidence.
 	everTail bool
@@ -150,7 +157,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, lastNow: none, phase: PhaseFollower, safeFrom: none, lastTail: none,
-		vouchers: map[model.Incarnation]model.Time{}, refusedAt: none, majorityAt: none,
+		vouchers: map[model.Incarnation]model.Time{}, passed: map[model.Incarnation]uint64{}, safeSince: none, refusedAt: none, majorityAt: none,
 		suspendedSince: none, vouchedUntil: none, heardOwner: none, vacantSince: none,
 		lastClaim: none, releasedAt: none,
 	}
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -15,6 +15,7 @@
 // sorted by incarnation; a claim names them.
 func (s *State) Step(now model.Time, electors []model.Member) []Action {
 	s.touch(now)
+	s.noteSafety(now)
 	var acts []Action
 	switch {
 	case s.draining:
@@ -85,7 +86,7 @@
 		return s.appendClaim(now, p.claim)
 	}
 	unvouched := now.Sub(s.majorityAt) > 2*s.cfg.Lease && s.recent(now, s.refusedAt)
-	if sameMembers(electors, s.claim.Electors) && !unvouched {
+	if sameMembers(s.nextElectors(electors), s.claim.Electors) && !unvouched {
 		return nil
 	}
 	return s.appendClaim(now, s.nextClaim(electors))
@@ -144,7 +145,7 @@
 	a := s.asking
 	granted := 0
 	for _, m := range s.claim.Electors {
-		if a.grants[m.Incarnation] {
+		if a.grants[m.Incarnation] || s.passed[m.Incarnation] == goneFor {
 			granted++
 		}
 	}
@@ -184,7 +185,7 @@
 }
 
 func (s *State) nextClaim(electors []model.Member) record.Claim {
-	return record.Claim{Epoch: s.epoch + 1, Owner: s.cfg.Self, Electors: slices.Clone(electors)}
+	return record.Claim{Epoch: s.epoch + 1, Owner: s.cfg.Self, Electors: s.nextElectors(electors)}
 }
 
 // appendClaim returns the append of a claim. Its effect is known only when the
