--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -27,7 +27,6 @@
 	upstreams                map[[2]string]int  // worker address and instance address, or "" for all
 	ghosts                   []model.VM         // listed and not there
 	leaving                  []leave
-	drains                   int
 }
 
 // leave is the time for which a worker was listed as leaving.
