--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -53,11 +53,13 @@
 	snapshot     *snapshotWriter
 }
 
-func newOwner(epoch uint64, now model.Time) *owner {
+func newOwner(epoch uint64, now model.Time, baseline bool) *owner {
+	policy := queue.DefaultConfig()
+	policy.FirstCome = baseline
 	return &owner{
 		epoch: epoch, since: now,
 		cache:    placement.NewCache(),
-		queue:    queue.New(queue.DefaultConfig()),
+		queue:    queue.New(policy),
 		workers:  make(map[model.WorkerName]*workerState),
 		tasks:    make(map[model.TaskID]*task),
 		jobTasks: make(map[model.JobID]map[model.TaskID]*task),
@@ -93,12 +95,15 @@
 	queued   model.Time
 	placed   model.Time
 	acked    model.Time // when the worker's acceptance was received
+	sendBy   model.Time // until which the driver may send the start
 	readyAt  model.Time // end of the backoff
 	avoid    []model.WorkerName
 	resume   []byte
 
-	stopping  bool
-	preempted bool
+	superseded bool // another attempt was started beside this one, which is in doubt
+	stopping   bool
+	preempted  bool
+	straggler  bool // ran over the straggler limit and was queued again
 }
 
 // attemptShift leaves room for the attempts of one epoch below the epoch, so
@@ -143,7 +148,7 @@
 	if t.j.svc.Class == model.ClassBatch || t.j.svc.Class == model.ClassGang {
 		it.Deadline = c.now.Add(t.j.deadlineAt.Sub(c.wall))
 	}
-	it.Data = t
+	it.Data, it.Straggler = t, t.straggler
 	t.queued = c.now
 	if it.Class == model.ClassInteractive {
 		c.own.queue.Arrived(it, c.now)
@@ -175,6 +180,7 @@
 	if c.now >= o.nextServices {
 		o.nextServices = c.now.Add(serviceInterval)
 		c.reconcileServices()
+		c.demoteStragglers()
 		c.dirty = true // headroom and straggler shares change with time
 		c.probeWorkers()
 		c.evacuate()
@@ -254,7 +260,7 @@
 	case !j.everStarted:
 		c.endJob(j, notRun(j.id, model.CodeDeadline, "the deadline passed before the work could start"))
 		return *j.answer
-	case j.active == 0 && !j.keyed:
+	case j.active == 0 && !j.keyed && len(c.own.jobTasks[j.id]) == 0:
 		c.endJob(j, model.Answer{
 			Outcome: model.OutcomeFailed, Code: model.CodeDeadline,
 			Message: "every attempt failed and the deadline passed",
@@ -410,22 +416,3 @@
 		}
 	}
 }
-
-// forecastJobs raises batch jobs whose forecast misses their deadline.
-func (c *Core) forecastJobs() {
-	o := c.own
-	for _, id := range sortedKeys(c.jobs) {
-		j := c.jobs[id]
-		if j.answer != nil || !j.durable || j.svc.Class != model.ClassBatch {
-			continue
-		}
-		n := j.counts()
-		j.forecast = o.queue.Forecast(id, n.Waiting+n.Running, j.sub.Service, j.sub.Operation, n.Running, c.now)
-		risk := j.forecast > 0 && c.wall.Add(j.forecast).After(j.deadlineAt)
-		if risk != j.atRisk {
-			j.atRisk = risk
-			o.queue.Raise(id, risk)
-			c.count("jobs_raised", "", 1)
-		}
-	}
-}
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -42,6 +42,11 @@
 	if it.Class == model.ClassService && !c.instanceWanted(t) {
 		return queue.Drop
 	}
+	if it.Class == model.ClassBatch && j.marks[t.index] != taskWaiting {
+		// A job that a takeover queued again; a report has shown since that the
+		// task still runs.
+		return queue.Drop
+	}
 	if c.dependencyDown(&j.svc) {
 		return queue.Blocked
 	}
@@ -62,6 +67,9 @@
 	w, denial := c.own.cache.Place(r)
 	if denial != "" {
 		c.count("placement_denials", string(denial), 1)
+		if c.cfg.Baseline {
+			return baselineVerdict(denial)
+		}
 		if it.Class == model.ClassInteractive || it.Class == model.ClassService {
 			c.preempt(r)
 		}
@@ -71,6 +79,16 @@
 	return queue.Placed
 }
 
+// baselineVerdict holds up the whole queue behind work that has no room now, as
+// one first-come queue does. Other denials may last for long and stop only
+// work of the same kind.
+func baselineVerdict(d placement.Denial) queue.Verdict {
+	if d == placement.DenialNoFitNow {
+		return queue.Stop
+	}
+	return queue.Blocked
+}
+
 // tryProbe places an idempotent task on a quarantined worker that is due for a
 // probe. It reports whether it did.
 func (c *Core) tryProbe(t *task, it *queue.Item) bool {
@@ -95,8 +113,11 @@
 	r := placement.Request{
 		Task: model.NewTaskID(j.id, t.index, 0), Service: j.svc.Name, Class: j.svc.Class,
 		Team: j.svc.Team, Need: j.need, Avoid: t.avoid, Reserve: reserve,
+		FirstFit: c.cfg.Baseline,
 	}
-	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService {
+	// Work that would miss its deadline uses the headroom too. Interactive work
+	// that needs the room gets it back by preemption.
+	if j.svc.Class == model.ClassInteractive || j.svc.Class == model.ClassService || j.atRisk {
 		r.Reserve = model.Resources{}
 	}
 	return r
@@ -120,6 +141,9 @@
 	ws, denial := c.own.cache.PlaceGang(rs)
 	if denial != "" {
 		c.count("placement_denials", string(denial), 1)
+		if c.cfg.Baseline {
+			return baselineVerdict(denial)
+		}
 		if denial == placement.DenialNoFitNow && holdForGang(c.now.Sub(it.Enqueued)) {
 			return queue.Stop // batch work, which comes after gangs, waits
 		}
@@ -196,6 +220,28 @@
 	c.control(w, worker.ActionCheckpoint, ids)
 }
 
+// demoteStragglers checkpoints batch tasks that turned out to be stragglers and
+// hold more than their share, so that shorter work gets the slots. They wait for
+// a slot of the stragglers' share. Running for long does not count as an
+// attempt.
+func (c *Core) demoteStragglers() {
+	byWorker := make(map[model.WorkerName][]model.TaskID)
+	for _, id := range c.own.queue.Demote(c.now) {
+		t := c.own.tasks[id]
+		if t == nil || t.phase != phaseRunning || t.stopping || t.j.keyed {
+			continue
+		}
+		t.straggler = true
+		byWorker[t.worker] = append(byWorker[t.worker], id)
+		c.count("stragglers_demoted", "", 1)
+	}
+	for _, name := range sortedKeys(byWorker) {
+		if w := c.own.workers[name]; w != nil {
+			c.checkpoint(w, byWorker[name])
+		}
+	}
+}
+
 // start binds a task to a worker.
 func (c *Core) start(t *task, name model.WorkerName, it *queue.Item) {
 	o := c.own
@@ -266,7 +312,9 @@
 	}
 	o.cache.Release(t.id)
 	o.queue.Ended(t.id)
-	t.j.mark(t.index, taskWaiting)
+	if !t.superseded {
+		t.j.mark(t.index, taskWaiting)
+	}
 	c.dirty = true
 }
 
@@ -295,8 +343,9 @@
 	if !t.j.keyed {
 		t.notAfter = c.notAfter(w)
 	}
+	t.sendBy = c.lease.ActUntil(c.now)
 	c.count("task_starts", string(t.j.svc.Class), 1)
-	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: c.lease.ActUntil(c.now), Request: worker.StartRequest{
+	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: t.sendBy, Request: worker.StartRequest{
 		Epoch: c.own.epoch, Boot: t.boot, NotAfter: t.notAfter, Lease: c.cfg.Timing.TaskLease,
 		Spec: t.spec(), Body: t.j.sub.Body, Resume: t.resume,
 	}}})
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -18,10 +18,9 @@
 	if t == nil || t.phase != phaseStarting {
 		return // a report was faster
 	}
-	w := c.own.workers[t.worker]
 	switch {
-	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil && w != nil && w.boot != t.boot:
-		c.inDoubt(t) // accepted before or after a restart
+	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil && c.restartedSince(t):
+		c.inDoubt(t) // it may have started before the restart or after
 	case ev.Delivery == DeliveryOK && ev.Result != nil && ev.Result.Refusal == nil:
 		t.phase, t.acked = phaseRunning, c.now
 		c.taskAccepted(t)
@@ -29,6 +28,7 @@
 		c.refused(t, ev.Result.Refusal)
 	case ev.Delivery == DeliveryNotSent:
 		c.count("starts_not_sent", "", 1)
+		c.suspect(t.worker)
 		c.notStarted(t)
 	default:
 		c.inDoubt(t)
@@ -103,7 +103,8 @@
 	}
 	n := &task{
 		j: j, index: t.index, attempts: t.attempts, resume: t.resume, queued: t.queued,
-		avoid: append([]model.WorkerName(nil), t.avoid...), readyAt: c.now.Add(delay),
+		straggler: t.straggler,
+		avoid:     append([]model.WorkerName(nil), t.avoid...), readyAt: c.now.Add(delay),
 	}
 	if t.worker != "" && !t.preempted {
 		n.avoid = append(n.avoid, t.worker)
@@ -163,10 +164,47 @@
 	c.count("starts_in_doubt", string(t.j.svc.Class), 1)
 	t.phase = phaseDoubt
 	c.own.cache.MarkDoubt(t.id)
+	c.suspect(t.worker)
 	if t.j.keyed {
 		c.own.doubts++
 	}
 	c.own.queries.add(c.now, t.id)
+	c.retryInDoubt(t)
+}
+
+// retryInDoubt starts an interactive idempotent task a second time while the
+// first start is in doubt, within the retry budget. A caller waits, and a
+// silent worker would hold the request until its deadline. The first whole
+// answer counts.
+func (c *Core) retryInDoubt(t *task) {
+	j := t.j
+	if j.keyed || j.svc.Class != model.ClassInteractive || j.answer != nil || j.cancelled || c.now >= j.deadline {
+		return
+	}
+	if t.attempts >= c.attemptLimit(j) || !c.budget(j.svc.Name).Retry(c.now) {
+		c.count("retries_denied", j.svc.Name, 1)
+		return
+	}
+	c.count("retries", string(j.svc.Class), 1)
+	t.superseded = true
+	c.again(t, 0)
+}
+
+// supersededEnded handles the end of an attempt beside which another was
+// started.
+func (c *Core) supersededEnded(t *task, st model.TaskStatus) {
+	if st.State == model.TaskDone && !st.ResultGone && t.j.answer == nil {
+		c.taskDone(t, st.Result)
+		return
+	}
+	c.forgetTask(t.worker, t.id)
+}
+
+func (c *Core) attemptLimit(j *job) int {
+	if j.svc.MaxAttempts > 0 {
+		return j.svc.MaxAttempts
+	}
+	return c.cfg.Limits.TaskAttempts
 }
 
 // tickDoubts asks workers about starts in doubt.
@@ -178,6 +216,9 @@
 			continue
 		}
 		o.queries.add(c.now.Add(c.jitter(queryInterval, 0.8, 1.2)), id)
+		if !t.superseded {
+			c.retryInDoubt(t) // the budget may have room by now
+		}
 		w := o.workers[t.worker]
 		if w == nil {
 			c.orphaned(t)
@@ -204,6 +245,10 @@
 		c.lease.SeenEpoch(c.now, ev.StaleEpoch)
 		return
 	}
+	if w := c.own.workers[ev.Worker]; w != nil && w.suspect && ev.Result != nil {
+		w.suspect = false // the start was lost on one connection only
+		c.setFlags(w)
+	}
 	t := c.own.tasks[ev.Task]
 	if t == nil || t.phase != phaseDoubt || ev.Result == nil {
 		return
@@ -213,7 +258,9 @@
 	case r.Status.State != model.TaskNotKnown:
 		c.taskReported(t, r.Status)
 	case t.boot != "" && r.Boot != t.boot:
-		c.lost(t, "the worker restarted")
+		if c.guarded(t.worker) || c.now > t.sendBy.Add(c.cfg.Timing.StartGrace) {
+			c.lost(t, "the worker restarted")
+		}
 	case c.guarded(t.worker) && r.Clock > t.notAfter:
 		// The worker refuses the start from now on, so it never runs.
 		c.count("doubts_not_run", "", 1)
@@ -224,6 +271,15 @@
 	}
 }
 
+// restartedSince reports whether the worker of a task has another boot than
+// when the task was placed.
+func (c *Core) restartedSince(t *task) bool {
+	w := c.own.workers[t.worker]
+	return w != nil && t.boot != "" && w.boot != t.boot
+}
+
+// guarded reports whether a worker itself refuses starts that come late or
+// were meant for another boot.
 func (c *Core) guarded(name model.WorkerName) bool {
 	w := c.own.workers[name]
 	return w != nil && w.guarded
@@ -240,6 +296,10 @@
 		c.endJob(t.j, a)
 		return
 	}
+	if t.superseded {
+		c.untrack(t)
+		return
+	}
 	c.notStarted(t)
 }
 
@@ -254,6 +314,9 @@
 		return
 	}
 	c.untrack(t)
+	if t.superseded {
+		return
+	}
 	c.retryTask(t, why)
 }
 
@@ -291,6 +354,8 @@
 		return
 	}
 	switch {
+	case t.superseded:
+		c.supersededEnded(t, st)
 	case ok && st.ResultGone:
 		c.retryTask(t, "the result is no longer held")
 	case ok:
@@ -318,6 +383,7 @@
 	if !j.durable {
 		c.forgetTask(t.worker, t.id)
 		c.maybeEndJob(j)
+		c.stopAttempts(j)
 		return
 	}
 	// The worker keeps the result until the record was read back.
@@ -328,6 +394,13 @@
 	c.maybeEndJob(j)
 }
 
+// stopAttempts stops the other attempts at a request that has its answer.
+func (c *Core) stopAttempts(j *job) {
+	for _, id := range sortedKeys(c.own.jobTasks[j.id]) {
+		c.stopTask(c.own.jobTasks[j.id][id])
+	}
+}
+
 // finishedTask is a finished task whose result its worker still keeps.
 type finishedTask struct {
 	worker model.WorkerName
@@ -359,10 +432,7 @@
 	if j.svc.Class == model.ClassService {
 		return
 	}
-	limit := j.svc.MaxAttempts
-	if limit <= 0 {
-		limit = c.cfg.Limits.TaskAttempts
-	}
+	limit := c.attemptLimit(j)
 	switch {
 	case j.answer != nil || j.cancelled:
 		c.maybeEndJob(j)
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -26,8 +26,10 @@
 	reach         bool
 	renewed       model.Time // latest time at which a lease renewal may have arrived
 	watching      bool
+	watchedAt     model.Time // when the last watch was ordered; answers to earlier ones are late
 	nextTry       model.Time
 	capacity      model.Resources
+	suspect       bool // did not answer its last start
 	guarded       bool // refuses stale epochs and late starts by itself
 	clearing      bool // a watch for that report was sent
 	cleared       bool // no start of a former owner can arrive any more
@@ -84,7 +86,7 @@
 // last call gets no lease renewal, so that the end of its tasks' leases can be
 // told from here.
 func (c *Core) watch(w *workerState) {
-	w.watching = true
+	w.watching, w.watchedAt = true, c.now
 	req := worker.WatchRequest{Epoch: c.own.epoch, After: w.seq, Boot: w.boot, Wait: c.cfg.Timing.WatchWait}
 	if w.reach || w.renewed == 0 {
 		req.Lease = c.cfg.Timing.TaskLease
@@ -159,10 +161,23 @@
 		return
 	}
 	c.own.cache.SetFlags(w.name, placement.Flags{
-		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reach || !w.cleared,
+		Leaving: w.leaving, Quarantined: c.blame.Quarantined(w.name), Unfenced: !w.reach || !w.cleared || w.suspect,
 	})
 }
 
+// suspect keeps new tasks off a worker that did not answer a start, until it
+// answers a query or a watch. A watch alone would show its silence only after
+// seconds, in which more starts would be lost.
+func (c *Core) suspect(name model.WorkerName) {
+	w := c.own.workers[name]
+	if w == nil || w.suspect {
+		return
+	}
+	w.suspect = true
+	c.count("workers_suspected", "", 1)
+	c.setFlags(w)
+}
+
 // clearedBy reports whether a full report shows everything that former owners
 // have started. A guarded worker refuses their starts since it saw the new
 // epoch. For another one the report must have been asked for after the last
@@ -205,10 +220,13 @@
 	if w == nil {
 		return
 	}
-	w.watching = false
 	if w.reach || w.renewed == 0 {
 		w.renewed = c.now
 	}
+	if ev.SentAt < w.watchedAt {
+		return // another watch was ordered since
+	}
+	w.watching = false
 	if ev.Report == nil || ev.Epoch > c.own.epoch {
 		c.watchFailed(w)
 		return
@@ -247,6 +265,7 @@
 	}
 	c.setLeaving(w, r.Leaving || w.listedLeaving)
 	w.capacity = r.Capacity
+	w.suspect = false
 	first := !w.reported
 	w.reported = w.reported || r.Full
 	w.guarded = r.Guarded
@@ -286,11 +305,10 @@
 	c.count("worker_restarts", "", 1)
 	c.change("worker", string(w.name), "", "restarted")
 	for _, id := range c.tasksOn(w.name) {
-		t := c.own.tasks[id]
-		if t == nil || t.phase == phaseIntent || (t.phase == phaseStarting && !w.guarded) {
-			continue // an unguarded worker may take a start that is under way
+		// A start that is on its way, or was, may still reach the worker.
+		if t := c.own.tasks[id]; t != nil && t.phase == phaseRunning {
+			c.lost(t, "the worker restarted")
 		}
-		c.lost(t, "the worker restarted")
 	}
 	w.reported, w.cleared, w.clearing, w.seq = false, false, false, 0
 }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -91,6 +91,9 @@
 		if e.Intent.Task == "" {
 			e.Intent = in
 		}
+		// An intent that electors held may have been given more time than the
+		// copy in the log. Only after the later time has it certainly not run.
+		e.Intent.NotAfter = max(e.Intent.NotAfter, in.NotAfter)
 		return Repeated
 	case in.Attempt < e.Attempt:
 		return Repeated
@@ -130,6 +133,9 @@
 	if a.Outcome == model.OutcomeNotRun && o.Attempt < e.Attempt {
 		return
 	}
+	if o.Attempt > e.Attempt && o.RequestHash != 0 {
+		e.Hash = o.RequestHash
+	}
 	e.Answer, e.Logged, e.At = &a, false, now
 	e.Attempt = max(e.Attempt, o.Attempt)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/worker"
 )
@@ -209,7 +211,7 @@
 func (w *Worker) run(req worker.StartRequest, now time.Duration) {
 	t := newTask(req, now, w.failAll, w.rng)
 	s := req.Spec
-	t.run = w.Ledger.began(Run{Worker: w.cfg.Name, Task: s.ID, Service: s.Service, Key: s.Key, Epoch: req.Epoch, Start: now})
+	t.run = w.Ledger.began(Run{Worker: w.cfg.Name, Task: s.ID, Service: s.Service, Key: s.Key, Body: xxhash.Sum64(req.Body), Epoch: req.Epoch, Start: now})
 	w.tasks[s.ID] = t
 	w.running = append(w.running, t)
 	w.touch(t)
@@ -229,7 +231,8 @@
 	if t := w.tasks[id]; t != nil {
 		r.Status = t.report(now, w.cfg.UsageLag)
 	} else if state, ok := w.past[id]; ok {
-		r.Status.State, r.Status.Message, r.Status.ResultGone = state, messageForgotten, true
+		r.Status.State, r.Status.Message = state, messageForgotten
+		r.Status.ResultGone = state == model.TaskDone
 	}
 	if err := w.Faults.lost("", false); err != nil {
 		return worker.QueryResult{}, &worker.UnavailableError{Op: "query", Cause: err}
