--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -37,6 +37,10 @@
 	// noOwnerRetry is how soon a call is routed again when its data centre has
 	// no owner: a small part of the time that a takeover takes.
 	noOwnerRetry = 50 * time.Millisecond
+	// replyGrace is how much longer than the owner the caller's instance waits.
+	// At the deadline the owner knows whether the work has started; without the
+	// grace its "not run" would come just after an "unknown".
+	replyGrace = 250 * time.Millisecond
 	// acceptWait is how long a caller waits for a job to be accepted.
 	acceptWait = 10 * time.Second
 	// unreachableMisses is the number of forwards in a row that were certainly
@@ -139,6 +143,7 @@
 	if wait > 0 {
 		cl.deadline = min(cl.deadline, c.now.Add(wait))
 	}
+	cl.deadline = cl.deadline.Add(replyGrace)
 }
 
 // route hands a call to the owner of its home, directly or by a forward.
@@ -195,7 +200,7 @@
 func (cl *call) forwardMessage(self model.Member, hops int, now model.Time) *message.Forward {
 	return &message.Forward{
 		Origin: self, Request: cl.id, Kind: cl.kind, Submission: cl.sub, Job: cl.job,
-		Hops: hops, Remaining: int64(cl.deadline.Sub(now)),
+		Hops: hops, Remaining: int64(cl.deadline.Add(-replyGrace).Sub(now)),
 	}
 }
 
@@ -245,17 +250,13 @@
 func (c *Core) onForwardSent(ev *Sent) {
 	cl := c.calls[c.forwards[ev.ID]]
 	delete(c.forwards, ev.ID)
-	if cl == nil || !contains(cl.open, ev.ID) {
+	if cl == nil {
 		return
 	}
-	last := cl.message == ev.ID
-	if last {
-		cl.message = ""
-	}
 	if ev.Delivery == DeliveryNotSent && c.forwardsOver(cl, []string{ev.ID}) {
 		return
 	}
-	if !last || cl.refused != nil {
+	if cl.message != ev.ID || cl.refused != nil {
 		return
 	}
 	if ev.Delivery == DeliveryOK {
@@ -387,10 +388,17 @@
 
 // finishCall answers a caller.
 func (c *Core) finishCall(cl *call, a model.Answer) {
-	delete(c.calls, cl.id)
+	c.dropCall(cl)
 	c.answerCaller(cl.id, a)
 }
 
+func (c *Core) dropCall(cl *call) {
+	delete(c.calls, cl.id)
+	for _, id := range cl.open {
+		delete(c.forwards, id)
+	}
+}
+
 func (c *Core) answerCaller(id model.RequestID, a model.Answer) {
 	c.count("answers", string(a.Outcome), 1)
 	c.emit(Effect{Answer: &Answer{Request: id, Answer: a}})
@@ -399,7 +407,9 @@
 // onGone drops a call whose caller has left. Work that was accepted or has a
 // key goes on.
 func (c *Core) onGone(ev *Gone) {
-	delete(c.calls, ev.Request)
+	if cl := c.calls[ev.Request]; cl != nil {
+		c.dropCall(cl)
+	}
 }
 
 // knownDataCentre reports whether the text or the membership names dc.
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -91,13 +91,16 @@
 		if e.Intent.Task == "" {
 			e.Intent = in
 		}
+		// An intent that electors held may have been given more time than the
+		// copy in the log. Only after the later time has it certainly not run.
+		e.Intent.NotAfter = max(e.Intent.NotAfter, in.NotAfter)
 		return Repeated
 	case in.Attempt < e.Attempt:
 		return Repeated
 	case e.Answer != nil && e.Answer.Outcome != model.OutcomeNotRun:
 		return Conflict
 	}
-	// After "not run" the key may belong to another request.
+	// The attempt before did not run, so this one may be for another request.
 	e.Hash = in.RequestHash
 	e.Attempt, e.Intent, e.Answer, e.Logged, e.At = in.Attempt, in, nil, false, now
 	return Accepted
