--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -95,6 +95,7 @@
 	queued   model.Time
 	placed   model.Time
 	acked    model.Time // when the worker's acceptance was received
+	sendBy   model.Time // until which the driver may send the start
 	readyAt  model.Time // end of the backoff
 	avoid    []model.WorkerName
 	resume   []byte
--- a/internal/core/schedule.go
+++ b/internal/core/schedule.go
@@ -231,13 +231,13 @@
 		if t == nil || t.phase != phaseRunning || t.stopping || t.j.keyed {
 			continue
 		}
-		t.stopping, t.preempted, t.straggler = true, true, true
+		t.straggler = true
 		byWorker[t.worker] = append(byWorker[t.worker], id)
 		c.count("stragglers_demoted", "", 1)
 	}
 	for _, name := range sortedKeys(byWorker) {
 		if w := c.own.workers[name]; w != nil {
-			c.control(w, worker.ActionCheckpoint, byWorker[name])
+			c.checkpoint(w, byWorker[name])
 		}
 	}
 }
@@ -343,8 +343,9 @@
 	if !t.j.keyed {
 		t.notAfter = c.notAfter(w)
 	}
+	t.sendBy = c.lease.ActUntil(c.now)
 	c.count("task_starts", string(t.j.svc.Class), 1)
-	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: c.lease.ActUntil(c.now), Request: worker.StartRequest{
+	c.emit(Effect{Start: &Start{Worker: w.name, Address: w.address, SendBy: t.sendBy, Request: worker.StartRequest{
 		Epoch: c.own.epoch, Boot: t.boot, NotAfter: t.notAfter, Lease: c.cfg.Timing.TaskLease,
 		Spec: t.spec(), Body: t.j.sub.Body, Resume: t.resume,
 	}}})
