--- a/internal/scenario/cluster_test.go
+++ b/internal/scenario/cluster_test.go
@@ -43,6 +43,7 @@
 	relay     bool   // data centres reach each other through relays
 	retention string // of the log
 	timing    string // fields of the settings' timing
+	shape     string // of workers
 }
 
 func defaultConfig() config {
@@ -154,6 +155,9 @@
 			}
 			args := []string{"standin", "workers", "--platform", c.platform, "--data-centre", dc,
 				"--count", fmt.Sprint(part.to - part.from), "--first", fmt.Sprint(part.from), "--listen-base", loopback(first), "--seed", fmt.Sprint(100 * (part.from + 1))}
+			if c.cfg.shape != "" {
+				args = append(args, "--shape", c.cfg.shape)
+			}
 			if !part.guarded {
 				args = append(args, "--unguarded")
 			}
