--- a/internal/scenario/chaos_test.go
+++ b/internal/scenario/chaos_test.go
@@ -25,6 +25,7 @@
 // Guards against two faults at once, in any order, that run a key twice,
 // overload a worker, lose an accepted job, or answer what is not true.
 func TestChaos(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	length := defaultChaos
 	if s := os.Getenv(chaosEnv); s != "" {
