--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -355,6 +355,13 @@
 // leaveWorker lists a worker as leaving, and half of the time makes it say so.
 func (w *world) leaveWorker() func() {
 	u := w.anyWorker()
+	// A second turn on a worker that is leaving would end with the first, while
+	// the check went on to the end of the second (seed 1200).
+	for _, l := range w.faults.leaving {
+		if l.worker == u.name && l.to == historyEnd {
+			return func() {}
+		}
+	}
 	w.note("leaving %s", u.name)
 	w.list.SetLeaving(string(u.name), true)
 	yes, no := true, false
--- a/internal/core/histories_test.go
+++ b/internal/core/histories_test.go
@@ -66,8 +66,11 @@
 	932:  "held intents of dead electors ran again",
 	1027: "a takeover was settled before the workers were known",
 	1164: "a key ran again after its outcome was lost",
+	448:  soleElector, 520: soleElector, 750: soleElector, 799: soleElector, 821: soleElector, 1321: soleElector,
 }
 
+const soleElector = "two owners started on unguarded workers: the older one was its claim's only elector"
+
 // TestRegressions guards against the return of faults that seeds have found.
 func TestRegressions(t *testing.T) {
 	for seed, what := range regressions {
@@ -78,21 +81,11 @@
 	}
 }
 
-// knownRed are seeds that show a fault that is not fixed, see KNOWN-RED.txt.
-var knownRed = map[uint64]string{
-	448: soleElector, 520: soleElector, 750: soleElector, 799: soleElector, 821: soleElector, 1321: soleElector,
-}
-
-const soleElector = "two owners start on unguarded workers: the older one is its claim's only elector"
-
 // report fails the test if a promise was broken. Grep selects lines of the
 // trace; without it, its end is printed.
 func report(t *testing.T, w *world, grep string) {
 	t.Helper()
 	violations := w.check()
-	if what, ok := knownRed[w.seed]; ok && len(violations) > 0 && os.Getenv("GENTIANPICK_SEED") == "" {
-		t.Skipf("known red, seed %d: %s: %s", w.seed, what, violations[0])
-	}
 	outcomes := map[string]int{}
 	for _, a := range w.calls.all {
 		o := "lost"
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -21,6 +21,9 @@
 	faultsUntil = 22 * time.Second
 	callsUntil  = 24 * time.Second
 	historyEnd  = 50 * time.Second
+	// retriesUntil leaves a call that is made last its deadline of 4 s, so that
+	// every call must have its answer at the end.
+	retriesUntil = historyEnd - 6*time.Second
 )
 
 var dataCentres = []model.DataCentre{"tartu", "voru"}
