Conditional reads of the VM list, and a message's sender once per connection

Cause: the whole VM list was read every 2 s (11.3 KB/s from the platform at 217 workers, 211 KB/s at the target size by calculation), and every message between instances repeated who sent it. Change: the list's request carries the entity tag of the last answer, and a platform that supports it answers 304; the first message of a connection names the sender; a heartbeat's reply names the owner only if the asker may not know it.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -138,7 +138,8 @@
 		r.Voucher = c.lease.OnHeartbeat(c.now, from, *hb)
 		r.Epoch = c.lease.KnownEpoch()
 	}
-	if m, ok := c.lease.Owner(); ok {
+	// An owner that both know of needs no telling to itself.
+	if m, ok := c.lease.Owner(); ok && (m.Incarnation != from.Incarnation || r.Epoch != hb.Epoch) {
 		r.Owner = &m
 	}
 	if from.DataCentre != c.cfg.Self.DataCentre {
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -79,6 +79,7 @@
 // Response is a response whose body arrived whole.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -132,7 +133,7 @@
 	if len(body) > MaxResponse {
 		return Response{}, &CallError{Code: CodeBadAnswer, Status: resp.StatusCode, Cause: &TooLargeError{}}
 	}
-	return Response{Status: resp.StatusCode, Body: body}, nil
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
 // Decode parses the body of a response with status 200 into out. Any other
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,8 +13,9 @@
 
 // link is one dialled connection.
 type link struct {
-	rpc *jsonrpc2.Conn
-	s   *stream
+	rpc        *jsonrpc2.Conn
+	s          *stream
+	introduced bool // a message with the sender was written; used by the peer's goroutine only
 }
 
 // alive reports whether the connection was not closed yet.
@@ -107,16 +108,14 @@
 		c.notSent(&StateError{Reason: CodeClosed})
 		return
 	}
-	// Encoded before the call counts as being written, since a large message
-	// takes a while.
-	request, err := encode(params{To: c.to.Incarnation, Envelope: c.env})
-	if err != nil {
-		<-p.inFlight
-		c.notSent(err)
-		return
-	}
 	for {
 		l, err := p.connect()
+		var request json.RawMessage
+		if err == nil {
+			// Encoded before the call counts as being written, since a large
+			// message takes a while.
+			request, err = l.encode(c)
+		}
 		if err != nil {
 			<-p.inFlight
 			c.notSent(err)
@@ -129,6 +128,7 @@
 		begun := l.s.begun.Load()
 		w, err := l.rpc.DispatchCall(p.t.ctx, method, request)
 		if err == nil {
+			l.introduced = true
 			go p.await(c, w)
 			return
 		}
@@ -148,8 +148,13 @@
 	}
 }
 
-// encode returns the parameters of a call or a FrameError.
-func encode(p params) (json.RawMessage, error) {
+// encode returns the parameters of a call or a FrameError. A connection's first
+// message says whom it comes from.
+func (l *link) encode(c *call) (json.RawMessage, error) {
+	p := params{To: c.to.Incarnation, ID: c.env.ID, Body: c.env.Body}
+	if !l.introduced {
+		p.From = &c.env.From
+	}
 	b, err := json.Marshal(p)
 	if err == nil && len(b) > frameLimit {
 		err = &FrameError{Size: len(b)}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -110,16 +110,20 @@
 const method = "message"
 
 // params is the parameter object of the method "message". To is empty if any
-// incarnation may take the message.
+// incarnation may take the message. From is in the first message of a
+// connection only, since all come from one process.
 type params struct {
-	To       model.Incarnation `json:"to,omitempty"`
-	Envelope message.Envelope  `json:"envelope"`
+	To   model.Incarnation `json:"to,omitempty"`
+	From *model.Member     `json:"from,omitempty"`
+	ID   string            `json:"id"`
+	Body message.Body      `json:"body"`
 }
 
 // inbound handles the requests of one accepted connection in their order.
 type inbound struct {
-	t *Transport
-	s *stream
+	t    *Transport
+	s    *stream
+	from *model.Member // nil until the first message
 }
 
 func (t *Transport) receive(conn net.Conn) {
@@ -149,11 +153,17 @@
 	if err := json.Unmarshal(*req.Params, &p); err != nil {
 		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	in.s.attribute(in.t.traffic(p.Envelope.From.DataCentre))
+	if p.From != nil {
+		in.from = p.From
+	}
+	if in.from == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "first message without sender"}
+	}
+	in.s.attribute(in.t.traffic(in.from.DataCentre))
 	if p.To != "" && p.To != in.t.cfg.Self.Incarnation {
 		return &jsonrpc2.Error{Code: numberIncarnation, Message: "other incarnation"}
 	}
-	if !in.t.cfg.Handler(p.Envelope) {
+	if !in.t.cfg.Handler(message.Envelope{From: *in.from, ID: p.ID, Body: p.Body}) {
 		return &jsonrpc2.Error{Code: numberBusy, Message: "event queue full"}
 	}
 	return nil
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/httpjson"
@@ -42,6 +43,10 @@
 	base   string
 	client *http.Client
 	header http.Header
+
+	mu  sync.Mutex
+	tag string     // entity tag of vms; empty: none
+	vms []model.VM // the newest list
 }
 
 var _ Platform = (*HTTP)(nil)
@@ -121,16 +126,36 @@
 	return ReadResult{Records: a.Records, Next: *a.Next, First: a.First, Tail: *a.Tail}, nil
 }
 
-// VMs implements Platform.
+// VMs implements Platform. The request is conditional, since the whole list is
+// long and changes rarely: a platform that gives it an entity tag answers 304
+// while it is the same.
 func (h *HTTP) VMs(ctx context.Context) ([]model.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	h.mu.Lock()
+	tag, vms := h.tag, h.vms
+	h.mu.Unlock()
+	header := h.header.Clone()
+	if tag != "" {
+		header.Set("If-None-Match", tag)
+	}
+	resp, err := httpjson.Do(ctx, h.client, httpjson.Request{Method: http.MethodGet, URL: h.base + "/vms", Header: header})
+	if err == nil && resp.Status == http.StatusNotModified && tag != "" {
+		return vms, nil
+	}
 	var a VMsAnswer
-	resp, err := h.get(ctx, h.base+"/vms", CallTimeout, &a)
+	if err == nil {
+		err = resp.Decode(&a)
+	}
 	if err == nil && a.VMs == nil {
 		err = resp.Missing("vms")
 	}
 	if err != nil {
 		return nil, &UnavailableError{Op: "vms", Cause: err}
 	}
+	h.mu.Lock()
+	h.tag, h.vms = resp.Header.Get("ETag"), a.VMs
+	h.mu.Unlock()
 	return a.VMs, nil
 }
 
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/platform"
 	"github.com/gentianpick/gentianpick/internal/worker"
@@ -97,9 +100,24 @@
 
 func (p *Platform) handleVMs(w http.ResponseWriter, r *http.Request) {
 	vms, err := p.caller(r).VMs(r.Context())
+	if err == nil {
+		tag := vmsTag(vms)
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
 	p.answer(w, r, platform.VMsAnswer{VMs: vms}, err)
 }
 
+// vmsTag returns the entity tag of a list: a hash of its content.
+func vmsTag(vms []model.VM) string {
+	d := xxhash.New()
+	_ = json.NewEncoder(d).Encode(vms) // a hash takes every write
+	return strconv.Quote(strconv.FormatUint(d.Sum64(), 16))
+}
+
 // answer writes the result of a call or what its error looks like on the wire.
 func (p *Platform) answer(w http.ResponseWriter, r *http.Request, body any, err error) {
 	var refused *platform.RefusedError
