--- a/internal/core/callers_test.go
+++ b/internal/core/callers_test.go
@@ -55,11 +55,10 @@
 
 // job is a batch or gang job that was accepted.
 type job struct {
-	id        model.JobID
-	result    string
-	tasks     int
-	cancelled bool
-	end       *model.Answer
+	id     model.JobID
+	result string
+	tasks  int
+	end    *model.Answer
 }
 
 // publish is one publisher's operation, its repetitions included.
@@ -77,6 +76,7 @@
 	all       []*attempt
 	byID      map[model.RequestID]*attempt
 	jobs      []*job
+	cancelled map[model.JobID]bool
 	publishes []*publish
 	waiting   map[model.RequestID]func(*core.PublishAnswer)
 	at        map[model.RequestID]*instance
@@ -88,6 +88,7 @@
 	*c = callers{
 		w: w, byID: map[model.RequestID]*attempt{}, waiting: map[model.RequestID]func(*core.PublishAnswer){},
 		at: map[model.RequestID]*instance{}, status: map[model.Incarnation]core.StatusReport{},
+		cancelled: map[model.JobID]bool{},
 	}
 	w.after(publishAt, func() { c.publish(0, "text-0") })
 	for t := faultsFrom / 2; t < callsUntil; t += 250 * time.Millisecond {
@@ -134,6 +135,11 @@
 		c.w.after(100*time.Millisecond, func() { c.call(kind, sub, id, wait, then) })
 		return
 	}
+	c.callAt(in, kind, sub, id, wait, then)
+}
+
+// callAt makes one call through the given instance.
+func (c *callers) callAt(in *instance, kind message.ForwardKind, sub model.Submission, id model.JobID, wait time.Duration, then func(*attempt)) {
 	c.n++
 	a := &attempt{
 		id: model.RequestID(fmt.Sprintf("r%d", c.n)), in: in, kind: kind, sub: sub, job: id, begin: c.w.now(), then: then,
@@ -179,7 +185,10 @@
 
 // booking submits a non-idempotent request until it has an end, at times by
 // two callers at once or with another body.
-func (c *callers) booking() {
+func (c *callers) booking() { c.bookingFor(nil) }
+
+// bookingFor is booking with its first call at one instance, if it is given.
+func (c *callers) bookingFor(first *instance) {
 	c.n++
 	key := model.Key(fmt.Sprintf("key-%d", c.n))
 	body, _ := c.body(5*time.Millisecond, 900*time.Millisecond)
@@ -192,12 +201,17 @@
 			sub.Body = other
 		}
 		tries++
-		c.call(message.ForwardRequest, sub, "", 0, func(a *attempt) {
+		then := func(a *attempt) {
 			ended := a.answer != nil && (a.answer.Outcome == model.OutcomeDone || a.answer.Outcome == model.OutcomeFailed)
 			if (!ended || c.w.chance(0.2)) && tries < 25 {
 				c.w.after(c.w.between(time.Millisecond, time.Second), try)
 			}
-		})
+		}
+		if tries == 1 && first != nil && !first.dead && !first.exited {
+			c.callAt(first, message.ForwardRequest, sub, "", 0, then)
+			return
+		}
+		c.call(message.ForwardRequest, sub, "", 0, then)
 	}
 	try()
 	if c.w.chance(0.2) {
@@ -212,6 +226,12 @@
 	c.call(message.ForwardRequest, model.Submission{Service: "preview", Body: body}, "", 0, func(*attempt) {})
 }
 
+// previewAt submits an idempotent request through one instance.
+func (c *callers) previewAt(in *instance) {
+	body, _ := c.body(50*time.Millisecond, 400*time.Millisecond)
+	c.callAt(in, message.ForwardRequest, model.Submission{Service: "preview", Body: body}, "", 0, func(*attempt) {})
+}
+
 // batch submits a job and asks for it until it has ended.
 func (c *callers) batch(service string, tasks int) {
 	body, result := c.body(50*time.Millisecond, 1500*time.Millisecond)
@@ -254,7 +274,7 @@
 func (c *callers) cancelSome() {
 	for _, j := range c.jobs {
 		if j.end == nil && c.w.chance(0.8) {
-			j.cancelled = true
+			c.cancelled[j.id] = true // a key's job may have two callers
 			c.call(message.ForwardCancel, model.Submission{}, j.id, 0, func(*attempt) {})
 		}
 	}
