--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -20,6 +20,7 @@
 	faultsFrom  = 4 * time.Second
 	faultsUntil = 22 * time.Second
 	callsUntil  = 24 * time.Second
+	lastCall    = historyEnd - 6*time.Second // callers' deadlines end before the history
 	historyEnd  = 50 * time.Second
 )
 
