A key never hears not run from an instance that did not ask its home

A caller who believes it books again under a new key. Ruled out: remembering keys per instance; the earlier try may have gone through another one. Change: such an answer is unknown with the same code and status for requests with a key; the owner refuses a key for lack of room only after it has looked the key up and has settled. After a pause an owner places nothing before the next VM list. Conclusion: not run is said only by a key's home.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -81,10 +81,10 @@
 
 func (s *server) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+wire.PathRequests, s.limited(s.request, model.OutcomeNotRun))
-	mux.HandleFunc("POST "+wire.PathJobs, s.limited(s.job, model.OutcomeNotRun))
-	mux.HandleFunc("GET "+wire.PathJobs+"/{id...}", s.limited(s.query, model.OutcomeUnknown))
-	mux.HandleFunc("DELETE "+wire.PathJobs+"/{id...}", s.limited(s.cancel, model.OutcomeUnknown))
+	mux.HandleFunc("POST "+wire.PathRequests, s.limited(s.request))
+	mux.HandleFunc("POST "+wire.PathJobs, s.limited(s.job))
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id...}", s.limited(s.query))
+	mux.HandleFunc("DELETE "+wire.PathJobs+"/{id...}", s.limited(s.cancel))
 	mux.HandleFunc("GET "+wire.PathText, s.text)
 	mux.HandleFunc("PUT "+wire.PathText, s.publish)
 	mux.HandleFunc("GET "+wire.PathStatus, s.status)
@@ -96,16 +96,16 @@
 }
 
 // limited answers overloaded while too many requests are in progress. The
-// outcome of a submission that was not looked at is not_run; that of a query
-// is unknown, since it says nothing about the job.
-func (s *server) limited(h http.HandlerFunc, outcome model.Outcome) http.HandlerFunc {
+// outcome is unknown, since the request was not looked at: it may ask for a job,
+// or have a key that an earlier try has used.
+func (s *server) limited(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case s.open <- struct{}{}:
 			defer func() { <-s.open }()
 			h(w, r)
 		default:
-			answer(w, model.Answer{Outcome: outcome, Code: model.CodeOverloaded, Message: "too many requests in progress"})
+			answer(w, model.Answer{Outcome: model.OutcomeUnknown, Code: model.CodeOverloaded, Message: "too many requests in progress"})
 		}
 	}
 }
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -62,9 +62,10 @@
 	case model.OutcomeNotRun:
 		return codeStatus(a.Code)
 	}
-	// The outcome of a query that was not carried out says nothing about the
-	// job, so these codes are about the query.
-	if a.Code == model.CodeJobNotFound || a.Code == model.CodeOverloaded {
+	// The outcome of a query that was not carried out, or of a request that did
+	// not reach its home, says nothing about the work; these codes are about the
+	// call.
+	if a.Code == model.CodeJobNotFound || model.OfInstance(a.Code) {
 		return codeStatus(a.Code)
 	}
 	return http.StatusAccepted
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -96,11 +96,6 @@
 	j := newJob(f.Job, f.Submission, hash)
 	c.adoptService(j, svc)
 	j.enqueued = c.now
-	if code, msg := c.refusal(j, w); code != model.CodeNone {
-		c.count("admissions_refused", string(code), 1)
-		c.reply(w.origin, notRun(f.Job, code, msg))
-		return
-	}
 	if j.keyed && c.keysLost() {
 		c.reply(w.origin, model.Answer{
 			Outcome: model.OutcomeUnknown, Code: model.CodeHomeSettling,
@@ -112,6 +107,12 @@
 		c.own.parked = append(c.own.parked, parked{f: f, until: w.until})
 		return
 	}
+	// Only here is it certain that a key has not run, so that "not run" is true.
+	if code, msg := c.refusal(j, w); code != model.CodeNone {
+		c.count("admissions_refused", string(code), 1)
+		c.reply(w.origin, notRun(f.Job, code, msg))
+		return
+	}
 	c.jobs[j.id] = j
 	c.attach(j, w)
 	c.admitByClass(j, w)
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -377,12 +377,16 @@
 }
 
 // refusal is the answer to a call that was certainly not delivered. New work
-// then did not run, but a query or a cancellation says nothing about its job.
+// then did not run, but a query or a cancellation says nothing about its job,
+// and only its home can say whether a key has run in an earlier try.
 func (cl *call) refusal(code model.Code, msg string) model.Answer {
 	a := notRun(cl.job, code, msg)
 	if cl.kind == message.ForwardQuery || cl.kind == message.ForwardCancel {
 		a.Outcome = model.OutcomeUnknown
 	}
+	if cl.sub.Key != "" && model.OfInstance(code) {
+		a.Outcome = model.OutcomeUnknown
+	}
 	return a
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,8 @@
 	ready        bool
 	readyReason  model.Code
 	started      bool
+	lastTick     model.Time
+	awaitList    bool   // the VM list is too old to place by
 	vmsListed    bool   // the VM list was read at least once
 	consultedBy  uint64 // highest epoch whose consult this instance answered
 	leaseDirty   bool   // something that the lease depends on has changed
@@ -156,7 +158,7 @@
 		c.leaseDirty = false
 		c.stepLease()
 	}
-	if c.dirty && c.acting() {
+	if c.dirty && c.acting() && !c.awaitList {
 		c.schedule()
 	}
 	c.flushCommits()
@@ -166,7 +168,12 @@
 // onTick does what depends only on time.
 func (c *Core) onTick(t *Tick) {
 	c.wall = t.Wall
-	c.started = true
+	if c.started && c.now.Sub(c.lastTick) > c.cfg.Timing.Lease {
+		// After a pause of the process the VM list is as old as the pause; until
+		// the next one, nothing is placed on workers that may be leaving.
+		c.awaitList = true
+	}
+	c.started, c.lastTick = true, c.now
 	c.heartbeats()
 	c.tickCalls()
 	c.tickPublishes()
--- a/internal/core/histories_test.go
+++ b/internal/core/histories_test.go
@@ -67,6 +67,7 @@
 	1027: "a takeover was settled before the workers were known",
 	1164: "a key ran again after its outcome was lost",
 	448:  soleElector, 520: soleElector, 750: soleElector, 799: soleElector, 821: soleElector, 1321: soleElector,
+	233: soleElector, 757: soleElector, 1198: soleElector, 1244: soleElector,
 }
 
 const soleElector = "two owners started on unguarded workers: the older one was its claim's only elector"
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -181,6 +181,7 @@
 
 // onVMList takes over the platform's list.
 func (c *Core) onVMList(ev *VMList) {
+	c.awaitList = false // with the platform out, the old list has to do
 	if ev.Failed {
 		c.count("vm_list_failures", "", 1)
 		return
--- a/internal/driver/calls.go
+++ b/internal/driver/calls.go
@@ -11,7 +11,8 @@
 
 // Submit hands a caller's request to the reducer and waits for its answer. It
 // sets the request id and the wall clock. A submission that the event loop
-// can't take is answered not_run, since nothing was started. The error is an
+// can't take is answered not_run, since nothing was started, or unknown if it
+// has a key. The error is an
 // OverloadedError (queries and cancellations only), a GoneError or a
 // StoppedError; after the last two the outcome is not known.
 func (d *Driver) Submit(ctx context.Context, call core.Call) (model.Answer, error) {
@@ -20,7 +21,11 @@
 	answer, err := await(ctx, d, &d.answers, call.Request, core.Event{Call: &call})
 	if _, full := err.(*OverloadedError); full {
 		if call.Kind == message.ForwardRequest || call.Kind == message.ForwardJob {
-			return model.Answer{Outcome: model.OutcomeNotRun, Code: model.CodeOverloaded, Message: err.Error()}, nil
+			a := model.Answer{Outcome: model.OutcomeNotRun, Code: model.CodeOverloaded, Message: err.Error()}
+			if call.Submission.Key != "" {
+				a.Outcome = model.OutcomeUnknown // an earlier try of the key may have run
+			}
+			return a, nil
 		}
 	}
 	return answer, err
--- a/internal/model/code.go
+++ b/internal/model/code.go
@@ -3,6 +3,17 @@
 // Code is a stable, machine-readable reason. Callers may depend on its value.
 type Code string
 
+// OfInstance reports whether a code says only that an instance could not take a
+// request to its home. It tells nothing about a key: an earlier try through
+// another instance may have run.
+func OfInstance(c Code) bool {
+	switch c {
+	case CodeNotReady, CodeDraining, CodeNoOwner, CodeHomeUnreachable, CodeOverloaded:
+		return true
+	}
+	return false
+}
+
 // Codes of answers and errors.
 const (
 	CodeNone            Code = ""
