A job whose acceptance is under way is not cancelled with its last waiter

Ruled out: a caller's cancellation; there was none. Change: such a job is left alone; its acceptance decides.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -243,7 +243,7 @@
 	for _, w := range due {
 		c.reply(w.origin, c.overdueAnswer(j, w))
 	}
-	if len(j.waiters) == 0 && j.answer == nil && !j.durable && !j.keyed && c.acting() {
+	if len(j.waiters) == 0 && j.answer == nil && !j.durable && !j.accepting && !j.keyed && c.acting() {
 		c.cancelJob(j) // nobody waits for idempotent work that is not durable
 	}
 }
