--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,7 +69,7 @@
 	dirty        bool   // a scheduling pass may place something
 
 	budgets map[string]*retry.Budget
-	blame   *health.State
+	health  *health.State
 }
 
 // streamState is how far a log stream has been read.
@@ -110,7 +110,7 @@
 		batches:   make(map[model.Incarnation]uint64),
 		held:      make(map[model.TaskID]record.Intent),
 		budgets:   make(map[string]*retry.Budget),
-		blame:     health.New(health.DefaultConfig()),
+		health:    health.New(health.DefaultConfig()),
 	}
 	c.readyReason = model.CodeNotReady
 	c.carryJitter = c.rng.Float64()
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -50,7 +50,7 @@
 		w := o.workers[name]
 		r.Workers = append(r.Workers, WorkerStatus{
 			Name: name, Rack: w.rack, Capacity: w.capacity, Used: o.cache.Used(name), Tasks: tasks[name],
-			Reachable: w.reach, Leaving: w.leaving, Quarantined: c.blame.Quarantined(name),
+			Reachable: w.reach, Leaving: w.leaving, Quarantined: c.health.Quarantined(name),
 		})
 	}
 	for _, cl := range []model.Class{model.ClassInteractive, model.ClassService, model.ClassGang, model.ClassBatch} {
