Settle a takeover by workers only if none of them may have forgotten

Ruled out: the consult; no elector was left to answer. Change: owners record their workers' boots in the log; reports settle a takeover only if every recorded worker reports with the same boot. Otherwise the loss is recorded, and until the life of a key has passed, keys that are not known answer unknown and never run.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,12 +37,14 @@
 	publishes  map[string]*publishing // publishers that wait at this instance, by publish id
 
 	// Folded from the data centre's log stream, the same on every instance.
-	keys    *keys.Table
-	jobs    map[model.JobID]*job
-	batches map[model.Incarnation]uint64 // highest folded batch of each writer
-	held    map[model.TaskID]record.Intent
-	stream  streamState
-	config  streamState
+	keys      *keys.Table
+	jobs      map[model.JobID]*job
+	batches   map[model.Incarnation]uint64 // highest folded batch of each writer
+	boots     map[model.WorkerName]string  // of the workers that reported to an owner
+	lostUntil time.Time                    // wall clock; until then keys that are not known may have run
+	held      map[model.TaskID]record.Intent
+	stream    streamState
+	config    streamState
 
 	commit commitQueue
 	own    *owner // state of an owner; nil otherwise
@@ -108,6 +110,7 @@
 		keys:      keys.New(),
 		jobs:      make(map[model.JobID]*job),
 		batches:   make(map[model.Incarnation]uint64),
+		boots:     make(map[model.WorkerName]string),
 		held:      make(map[model.TaskID]record.Intent),
 		budgets:   make(map[string]*retry.Budget),
 		health:    health.New(health.DefaultConfig()),
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/gentianpick/gentianpick/internal/keys"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/platform"
@@ -82,10 +84,12 @@
 	return c.stream.complete || c.now >= c.stream.fromAt.Add(c.cfg.Timing.Retention/2)
 }
 
-// keysLost reports whether the log has forgotten keys that no snapshot carried.
+// keysLost reports whether the log has forgotten keys that no snapshot carried,
+// or a takeover found that everybody who may have held intents is gone.
 // A key that is not known may then have run; it must not run again.
 func (c *Core) keysLost() bool {
-	return !c.stream.complete && c.now < c.stream.fromAt.Add(c.cfg.Timing.KeyLife)
+	gap := !c.stream.complete && c.now < c.stream.fromAt.Add(c.cfg.Timing.KeyLife)
+	return gap || c.wall.Before(c.lostUntil)
 }
 
 // foldRecord folds one record of either stream.
@@ -141,6 +145,10 @@
 		c.foldOutcome(*e.Outcome)
 	case e.Snapshot != nil:
 		c.foldSnapshot(e.Snapshot)
+	case e.Boot != nil:
+		c.foldBoot(*e.Boot)
+	case e.KeysLost != nil:
+		c.loseKeys(e.KeysLost.Until)
 	}
 }
 
@@ -170,6 +178,21 @@
 	}
 }
 
+// loseKeys notes until when keys that are not known may have run.
+func (c *Core) loseKeys(until time.Time) {
+	if until.After(c.lostUntil) {
+		c.lostUntil = until
+	}
+}
+
+func (c *Core) foldBoot(b record.Boot) {
+	if b.Boot == "" {
+		delete(c.boots, b.Worker)
+		return
+	}
+	c.boots[b.Worker] = b.Boot
+}
+
 func (c *Core) foldOutcome(o record.Outcome) {
 	c.keys.FoldOutcome(c.now, o)
 	if c.own != nil {
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+
 	"github.com/gentianpick/gentianpick/internal/message"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/ownership"
@@ -65,6 +67,7 @@
 // after the wait; workers are fenced and asked for reports at once.
 func (c *Core) takeOver(epoch uint64) {
 	c.own = newOwner(epoch, c.now, c.cfg.Baseline)
+	c.own.boots = maps.Clone(c.boots)
 	c.nextBeat = c.now // an owner beats more often
 	c.count("takeovers", "", 1)
 	if c.text != nil {
@@ -165,6 +168,12 @@
 	if !byElectors && !c.allWorkersReported() {
 		return
 	}
+	if !byElectors && len(o.electors) > 0 && !c.workersRemember() {
+		c.loseKeys(c.wall.Add(c.cfg.Timing.KeyLife))
+		c.append(record.Entry{KeysLost: &record.KeysLost{Until: c.lostUntil}}, true)
+		c.count("keys_lost", "", 1)
+		c.change("owner", c.cfg.Self.Name, "", "intents may be lost: keys that are not known answer unknown")
+	}
 	o.settled = true
 	c.change("owner", c.cfg.Self.Name, "settling", "settled")
 	parked := o.parked
@@ -175,6 +184,22 @@
 	c.dirty = true
 }
 
+// workersRemember reports whether the workers know every task of the former
+// owner: each one that was recorded reports with the same boot, and there is no
+// other.
+func (c *Core) workersRemember() bool {
+	o := c.own
+	if len(o.boots) != len(o.workers) {
+		return false
+	}
+	for name, w := range o.workers {
+		if b, ok := o.boots[name]; !ok || b != w.boot {
+			return false
+		}
+	}
+	return true
+}
+
 // onHeldReply takes over intents that an elector held while the log was out.
 func (c *Core) onHeldReply(from model.Member, r *message.HeldReply) {
 	if c.own == nil || r.Epoch != c.own.epoch {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -30,7 +30,8 @@
 	delayed  []*task // idempotent tasks that wait for their backoff
 	doubts   int     // keyed starts with an unknown outcome
 
-	actingSince model.Time // first time past the wait; zero: not yet
+	actingSince model.Time                  // first time past the wait; zero: not yet
+	boots       map[model.WorkerName]string // recorded before this owner took over
 	settled     bool
 	electors    []model.Member // of the epoch before
 	consulted   map[model.Incarnation]bool
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -36,6 +36,10 @@
 	if first {
 		c.promiseAdopted(w)
 	}
+	if r.Full && c.boots[w.name] != r.Boot {
+		c.boots[w.name] = r.Boot
+		c.append(record.Entry{Boot: &record.Boot{Worker: w.name, Boot: r.Boot}}, false)
+	}
 	for _, st := range r.Tasks {
 		c.applyStatus(w, st)
 	}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -47,6 +47,12 @@
 // buildSnapshot collects everything that a later owner needs.
 func (c *Core) buildSnapshot() []record.Snapshot {
 	var entries []record.Entry
+	for _, name := range sortedKeys(c.boots) {
+		entries = append(entries, record.Entry{Boot: &record.Boot{Worker: name, Boot: c.boots[name]}})
+	}
+	if c.wall.Before(c.lostUntil) {
+		entries = append(entries, record.Entry{KeysLost: &record.KeysLost{Until: c.lostUntil}})
+	}
 	for _, id := range sortedKeys(c.jobs) {
 		entries = append(entries, c.jobs[id].records(c.own.epoch)...)
 	}
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -5,6 +5,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/placement"
+	"github.com/gentianpick/gentianpick/internal/record"
 	"github.com/gentianpick/gentianpick/internal/worker"
 )
 
@@ -147,6 +148,8 @@
 func (c *Core) removeWorker(w *workerState) {
 	delete(c.own.workers, w.name)
 	delete(c.own.forget, w.name)
+	delete(c.boots, w.name)
+	c.append(record.Entry{Boot: &record.Boot{Worker: w.name}}, false)
 	c.own.cache.RemoveWorker(w.name)
 	c.health.ForgetWorker(w.name)
 	c.change("worker", string(w.name), "silent", "removed")
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -41,6 +41,8 @@
 	Intent   *Intent   `json:"intent,omitempty"`
 	Outcome  *Outcome  `json:"outcome,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Boot     *Boot     `json:"boot,omitempty"`
+	KeysLost *KeysLost `json:"keys_lost,omitempty"`
 	Publish  *Publish  `json:"publish,omitempty"`
 	Carry    *Carry    `json:"carry,omitempty"`
 }
@@ -124,6 +126,21 @@
 	Task        model.TaskID     `json:"task,omitempty"`
 }
 
+// Boot records the boot id of a worker that reported to an owner. A worker with
+// another boot than the last one recorded may have forgotten tasks that only it
+// knew. An empty Boot says that the worker was removed.
+type Boot struct {
+	Worker model.WorkerName `json:"worker"`
+	Boot   string           `json:"boot,omitempty"`
+}
+
+// KeysLost records that an owner took over after a loss that may have taken
+// intents with it. Keys that are not known may have run, until the life of a
+// key has passed.
+type KeysLost struct {
+	Until time.Time `json:"until"` // wall clock
+}
+
 // Snapshot carries still needed state of a data centre's stream forward, so
 // that it outlives the log's retention. Folding an entry twice has no effect.
 type Snapshot struct {
