--- a/internal/ownership/safety.go
+++ b/internal/ownership/safety.go
@@ -24,7 +24,6 @@
 const goneFor = ^uint64(0)
 
 // electors returns the electors of the claim in force.
-
 func (s *State) electors() []model.Member {
 	if s.claim == nil {
 		return nil
