Bound the bytes of an append

Cause (found by reading): a group of submissions or results could exceed what the log takes in one append. It would be refused for ever, and since one append is in flight at a time, every later record of the data centre would wait behind it.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -203,6 +203,8 @@
 	}
 	durable := !j.keyed && (j.svc.Class != model.ClassInteractive || w.kind == message.ForwardJob)
 	switch {
+	case durable && len(j.sub.Body) > maxLoggedBody:
+		return model.CodeBodyTooLarge, fmt.Sprintf("the log takes bodies of %d bytes", maxLoggedBody)
 	case c.draining:
 		return model.CodeNoOwner, "the owner is shutting down"
 	case durable && (len(c.jobs) >= c.cfg.Limits.Jobs || o.undurable >= c.cfg.Limits.Undurable):
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -35,8 +35,18 @@
 	// logOutAfter is how long the log must be silent before it counts as out.
 	// It is short, since callers of non-idempotent work wait meanwhile.
 	logOutAfter = 400 * time.Millisecond
-	// maxBatchEntries bounds the size of one append.
+	// maxBatchEntries bounds the records of one append.
 	maxBatchEntries = 500
+	// maxBatchBytes bounds the bodies and results of one append. A log that
+	// refuses a batch for its size would refuse it for ever and hold up all
+	// later records; logs commonly take 1 MiB.
+	maxBatchBytes = 512 << 10
+	// maxLoggedBody is the largest body of a durable submission, in bytes. With
+	// the encoding of bytes in JSON it stays below 1 MiB.
+	maxLoggedBody = 512 << 10
+	// maxLoggedResult is the largest result of a key, or of all tasks of a job,
+	// that the log keeps, in bytes.
+	maxLoggedResult = 256 << 10
 )
 
 // append queues a record. An urgent one is sent as soon as the rate allows;
@@ -61,7 +71,7 @@
 	if q.urgentAt == 0 && c.now < q.lazyAt.Add(c.cfg.Timing.LazyCommit) {
 		return
 	}
-	n := min(len(q.entries), maxBatchEntries)
+	n := batchLen(q.entries)
 	q.seq++
 	b := record.Batch{
 		ID: c.nextID(), Seq: q.seq, Writer: c.cfg.Self.Incarnation, Entries: q.entries[:n:n],
@@ -79,6 +89,40 @@
 	c.sendFlight()
 }
 
+// batchLen returns how many records go into the next append, at least one.
+func batchLen(entries []record.Entry) int {
+	bytes := 0
+	for i, e := range entries {
+		bytes += payloadBytes(e)
+		if i > 0 && bytes > maxBatchBytes || i == maxBatchEntries {
+			return i
+		}
+	}
+	return len(entries)
+}
+
+// payloadBytes returns the size of what a caller or a worker put into a record.
+func payloadBytes(e record.Entry) int {
+	n := 0
+	switch {
+	case e.Accept != nil:
+		n = len(e.Accept.Submission.Body)
+	case e.Finish != nil:
+		n = len(e.Finish.Answer.Result)
+	case e.Outcome != nil:
+		n = len(e.Outcome.Answer.Result)
+	case e.Progress != nil:
+		for _, r := range e.Progress.Done {
+			n += len(r.Result)
+		}
+	case e.Snapshot != nil:
+		for _, s := range e.Snapshot.Entries {
+			n += payloadBytes(s)
+		}
+	}
+	return n
+}
+
 func (c *Core) sendFlight() {
 	f := c.commit.flight
 	f.sending = true
--- /dev/null
+++ b/internal/core/commit_test.go
@@ -0,0 +1,31 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/record"
+)
+
+// TestBatchLen guards against an append that the log refuses for its size for
+// ever, which would hold up every later record.
+func TestBatchLen(t *testing.T) {
+	accept := func(body int) record.Entry {
+		return record.Entry{Accept: &record.Accept{Submission: model.Submission{Body: make([]byte, body)}}}
+	}
+	many := make([]record.Entry, maxBatchEntries+1)
+	for _, tc := range []struct {
+		entries []record.Entry
+		want    int
+	}{
+		{nil, 0},
+		{[]record.Entry{accept(10), accept(10)}, 2},
+		{[]record.Entry{accept(maxBatchBytes / 2), accept(maxBatchBytes / 2), accept(1)}, 2},
+		{[]record.Entry{accept(2 * maxBatchBytes), accept(1)}, 1}, // one record goes, whatever its size
+		{many, maxBatchEntries},
+	} {
+		is.New(t).Equal(batchLen(tc.entries), tc.want)
+	}
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -169,6 +169,15 @@
 	return b
 }
 
+// resultBytes returns the size of the results so far.
+func (j *job) resultBytes() int {
+	n := 0
+	for _, r := range j.results {
+		n += len(r)
+	}
+	return n
+}
+
 // progress is the answer while the job has not ended.
 func (j *job) progress() model.Answer {
 	a := model.Answer{Job: j.id, Outcome: model.OutcomeAccepted, Forecast: j.forecast}
--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -102,6 +103,11 @@
 	switch {
 	case st.ResultGone:
 		return model.Answer{Job: job, Outcome: model.OutcomeUnknown, Code: model.CodeResultLost, Message: "it ran; its result is no longer held"}
+	case len(st.Result) > maxLoggedResult:
+		return model.Answer{
+			Job: job, Outcome: model.OutcomeUnknown, Code: model.CodeResultLost,
+			Message: fmt.Sprintf("it ran; its result has %d bytes and the log keeps %d", len(st.Result), maxLoggedResult),
+		}
 	case st.State == model.TaskDone:
 		return model.Answer{Job: job, Outcome: model.OutcomeDone, Result: st.Result}
 	case st.State == model.TaskStopped:
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -59,12 +59,15 @@
 	for _, e := range c.keys.Sorted() {
 		entries = append(entries, e.Records(c.own.epoch)...)
 	}
-	n := max((len(entries)+snapshotEntries-1)/snapshotEntries, 1)
-	parts := make([]record.Snapshot, n)
 	asOf := max(c.stream.next, 1) - 1
+	var parts []record.Snapshot
+	for len(parts) == 0 || len(entries) > 0 {
+		n := min(batchLen(entries), snapshotEntries)
+		parts = append(parts, record.Snapshot{Epoch: c.own.epoch, AsOf: asOf, Part: len(parts), Entries: entries[:n:n]})
+		entries = entries[n:]
+	}
 	for i := range parts {
-		lo, hi := i*snapshotEntries, min((i+1)*snapshotEntries, len(entries))
-		parts[i] = record.Snapshot{Epoch: c.own.epoch, AsOf: asOf, Part: i, Parts: n, Entries: entries[lo:hi]}
+		parts[i].Parts = len(parts)
 	}
 	if cl, ok := c.lease.Claim(); ok {
 		parts[0].Claim = &cl
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -223,6 +224,11 @@
 // taskDone records a task's result.
 func (c *Core) taskDone(t *task, result []byte) {
 	j := t.j
+	if j.durable && j.resultBytes()+len(result) > maxLoggedResult {
+		c.forgetTask(t.worker, t.id)
+		c.failTask(t, fmt.Sprintf("the job's results are above the %d bytes that the log keeps", maxLoggedResult))
+		return
+	}
 	j.settle(t.index, taskDone, result)
 	c.count("tasks_done", string(j.svc.Class), 1)
 	if !j.durable {
