--- a/internal/cli/burn.go
+++ b/internal/cli/burn.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/client"
 )
 
 func burnCommand() *cli.Command {
@@ -17,17 +19,7 @@
 }
 
 func runBurn(ctx context.Context, cmd *cli.Command) error {
-	if err := noArguments(cmd); err != nil {
-		return err
-	}
-	c, err := dial(cmd)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
-	defer cancel()
-	r, err := c.Burn(ctx)
+	r, err := ask(ctx, cmd, (*client.Client).Burn)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/common.go
+++ b/internal/cli/common.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,6 +48,22 @@
 
 func dial(cmd *cli.Command) (*client.Client, error) { return client.New(cmd.String("server")) }
 
+// ask makes one call for a command without arguments, within its time-out.
+func ask[T any](ctx context.Context, cmd *cli.Command, call func(*client.Client, context.Context) (T, error)) (T, error) {
+	var none T
+	if err := noArguments(cmd); err != nil {
+		return none, err
+	}
+	c, err := dial(cmd)
+	if err != nil {
+		return none, err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+	return call(c, ctx)
+}
+
 // oneArgument returns the only argument of a command.
 func oneArgument(cmd *cli.Command, name string) (string, error) {
 	if cmd.Args().Len() != 1 {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/gentianpick/gentianpick/internal/client"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/wire"
 )
@@ -23,17 +24,7 @@
 }
 
 func runStatus(ctx context.Context, cmd *cli.Command) error {
-	if err := noArguments(cmd); err != nil {
-		return err
-	}
-	c, err := dial(cmd)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
-	defer cancel()
-	s, err := c.Status(ctx)
+	s, err := ask(ctx, cmd, (*client.Client).Status)
 	if err != nil {
 		return err
 	}
