--- /dev/null
+++ b/internal/core/pairs_test.go
@@ -0,0 +1,45 @@
+package core_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestPairs guards against a promise that holds under each fault alone and
+// breaks under two: a worker that leaves, or a drain, during every other kind
+// of fault. The seeds of TestHistories draw few of these pairs.
+func TestPairs(t *testing.T) {
+	for _, name := range []string{"worker leaving", "drain"} {
+		first := slices.IndexFunc(faultKinds, func(f fault) bool { return f.name == name })
+		for i, second := range faultKinds {
+			if i == first {
+				continue
+			}
+			t.Run(name+" and "+second.name, func(t *testing.T) {
+				t.Parallel()
+				w := history(0, func(w *world) { // seed 0 draws no faults of its own
+					// The first fault lasts for long enough that starts fall after the
+					// 5 s within which a leaving worker may still get some.
+					w.during(faultKinds[first], 5*time.Second, 16*time.Second)
+					w.during(second, 6*time.Second, 4*time.Second)
+					for _, address := range w.order {
+						w.after(4*time.Second, func() {
+							w.burst(w.insts[address], 0, 14*time.Second, w.calls.previewAt)
+						})
+					}
+				})
+				report(t, w, "")
+			})
+		}
+	}
+}
+
+// during switches a fault on at a time and off after a while.
+func (w *world) during(f fault, at, d time.Duration) {
+	w.after(at, func() {
+		w.note("fault on: %s", f.name)
+		off := f.on(w)
+		w.after(d, func() { w.note("fault off: %s", f.name); off() })
+	})
+}
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -36,7 +36,7 @@
 	c.own.probes = c.health.ProbeDue(c.now)
 }
 
-// noteHealth tells the blame table how a task ended, and applies its verdict
+// noteHealth tells the health state how a task ended, and applies its verdict
 // on the worker.
 func (c *Core) noteHealth(t *task, ok bool) {
 	ch := c.health.TaskEnded(c.now, t.worker, t.j.attributedTo(), ok)
