The command line says not run only for work without an earlier try

Cause (found by reading): a call that did not reach a server ended with exit code 3, certainly not run, also for a repeated key, a repeated publish and a query. Change: exit code 4 for work with a key and for a publish, 1 for queries; 3 stays for new work without a key. An unreachable server's error says how to name another, and usage errors no longer repeat the program's name.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/client"
 )
 
 // Run runs the program with the given arguments and returns its exit code.
@@ -37,6 +40,10 @@
 	err := app.Run(ctx, args)
 	if err != nil {
 		fmt.Fprintln(stderr, "gentianpick:", err)
+		var transport *client.TransportError
+		if errors.As(err, &transport) && transport.NotSent {
+			fmt.Fprintf(stderr, "Is an instance running there? Name another one with --server or %s.\n", serverEnv)
+		}
 	}
 	return exitCode(err)
 }
@@ -44,7 +51,7 @@
 // group is the action of a command that only has subcommands.
 func group(_ context.Context, cmd *cli.Command) error {
 	if cmd.Args().Present() {
-		return &UsageError{Reason: fmt.Sprintf("%s has no command %q", cmd.FullName(), cmd.Args().First())}
+		return &UsageError{Reason: fmt.Sprintf("%s has no command %q", commandName(cmd), cmd.Args().First())}
 	}
 	return cli.ShowSubcommandHelp(cmd)
 }
--- a/internal/cli/common.go
+++ b/internal/cli/common.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -64,17 +65,26 @@
 	return call(c, ctx)
 }
 
+// commandName returns the command without the program's name, which starts
+// every error line.
+func commandName(cmd *cli.Command) string {
+	if name := strings.TrimPrefix(cmd.FullName(), "gentianpick "); name != "gentianpick" {
+		return name
+	}
+	return "the program"
+}
+
 // oneArgument returns the only argument of a command.
 func oneArgument(cmd *cli.Command, name string) (string, error) {
 	if cmd.Args().Len() != 1 {
-		return "", &UsageError{Reason: fmt.Sprintf("%s needs exactly one %s", cmd.FullName(), name)}
+		return "", &UsageError{Reason: fmt.Sprintf("%s needs exactly one %s", commandName(cmd), name)}
 	}
 	return cmd.Args().First(), nil
 }
 
 func noArguments(cmd *cli.Command) error {
 	if cmd.Args().Present() {
-		return &UsageError{Reason: fmt.Sprintf("%s has no arguments, got %q", cmd.FullName(), cmd.Args().First())}
+		return &UsageError{Reason: fmt.Sprintf("%s has no arguments, got %q", commandName(cmd), cmd.Args().First())}
 	}
 	return nil
 }
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -48,7 +48,7 @@
 	var usage *UsageError
 	var flag *FlagError
 	var url *client.ServerURLError
-	var transport *client.TransportError
+	var unsent *UnsentError
 	var code coded
 	switch {
 	case err == nil:
@@ -57,8 +57,10 @@
 		return outcomeExit(outcome.Outcome)
 	case errors.As(err, &usage), errors.As(err, &flag), errors.As(err, &url):
 		return ExitUsage
-	case errors.As(err, &transport) && transport.NotSent:
+	case errors.As(err, &unsent) && !unsent.Repeatable:
 		return ExitNotRun
+	case errors.As(err, &unsent):
+		return ExitUnknown
 	case errors.As(err, &code) && code.Code() == model.CodeInDoubt:
 		return ExitUnknown
 	}
@@ -98,3 +100,39 @@
 
 // Code returns the stable code of the error.
 func (e *InvalidError) Code() model.Code { return model.CodeTextInvalid }
+
+// UnsentError reports work that did not reach a server.
+type UnsentError struct {
+	// Repeatable says that the work has a key or publish id, so that an earlier
+	// try may have taken effect although this one did not.
+	Repeatable bool
+	Cause      error
+}
+
+func (e *UnsentError) Error() string {
+	if e.Repeatable {
+		return e.Cause.Error() + "; this try had no effect, repeat it to learn of earlier ones"
+	}
+	return e.Cause.Error()
+}
+
+// Unwrap returns the client's error.
+func (e *UnsentError) Unwrap() error { return e.Cause }
+
+// Code returns in_doubt if an earlier try may have taken effect.
+func (e *UnsentError) Code() model.Code {
+	if e.Repeatable {
+		return model.CodeInDoubt
+	}
+	return model.CodeHomeUnreachable
+}
+
+// unsent marks the error of work that did not reach the server; other errors
+// stay as they are.
+func unsent(err error, repeatable bool) error {
+	var transport *client.TransportError
+	if errors.As(err, &transport) && transport.NotSent {
+		return &UnsentError{Repeatable: repeatable, Cause: err}
+	}
+	return err
+}
--- a/internal/cli/operate_test.go
+++ b/internal/cli/operate_test.go
@@ -76,6 +76,8 @@
 		{"validate nothing", nil, []string{"validate"}, ExitUsage, "exactly one FILE"},
 		{"validate missing file", nil, []string{"validate", "none.jsonc"}, ExitError, "none.jsonc"},
 		{"server not reached", nil, []string{"submit", "check", "--server", "http://127.0.0.1:1"}, ExitNotRun, "refused"},
+		{"server not reached, with a key", nil, []string{"submit", "check", "--key", "k", "--server", "http://127.0.0.1:1"}, ExitUnknown, "repeat it"},
+		{"server not reached by a query", nil, []string{"job", "get", "tartu/1", "--server", "http://127.0.0.1:1"}, ExitError, "--server"},
 		{"server no url", nil, []string{"status", "--server", "127.0.0.1:1"}, ExitUsage, "not a URL"},
 		{"submit done", post(`200 {"outcome":"done","result_text":"ready"}`), submit, ExitOK, "ready"},
 		{"submit failed", post(`200 {"outcome":"failed","code":"task_failed"}`), submit, ExitError, "task_failed"},
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -53,7 +53,7 @@
 	base := cmd.Uint64("base")
 	if !cmd.IsSet("base") {
 		if base, err = versionInForce(ctx, c); err != nil {
-			return err
+			return unsent(err, false)
 		}
 	}
 	id := cmd.String("id")
@@ -63,7 +63,7 @@
 	p, err := c.Publish(ctx, base, id, text)
 	if err != nil {
 		fmt.Fprintf(cmd.Root().ErrWriter, "publish id %s, base %d\n", id, base)
-		return err
+		return unsent(err, true) // the client repeats the call; an earlier try may have been taken
 	}
 	return showPublished(cmd, p)
 }
--- a/internal/cli/submit.go
+++ b/internal/cli/submit.go
@@ -59,7 +59,7 @@
 	defer c.Close()
 	a, err := send(ctx, cmd, c, submit)
 	if err != nil {
-		return err
+		return unsent(err, submit.Key != "" || a.Job != "")
 	}
 	return showAnswer(cmd, a)
 }
