--- /dev/null
+++ b/internal/cell/asking.go
@@ -0,0 +1,209 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/eligibility"
+)
+
+// advisor is an instance that can make eligibility calls.
+type advisor struct {
+	name     string
+	up       bool
+	calls    int
+	freeFrom model.Time
+}
+
+// queueStats is what was learned of a queue.
+type queueStats struct {
+	eligible float64 // share of the workers asked about that were eligible
+	ratio    float64 // run time over estimate, smoothed
+}
+
+// Smoothing of what is learned, as the weight of one new value.
+const (
+	shareWeight = 0.05
+	ratioWeight = 0.02
+	// maxRatio bounds one value, so that a straggler does not spoil the mean.
+	maxRatio = 4
+)
+
+func (c *Cell) stats(queue string) *queueStats {
+	s := c.learned[queue]
+	if s == nil {
+		s = &queueStats{eligible: 0.5, ratio: 1}
+		c.learned[queue] = s
+	}
+	return s
+}
+
+// learn compares a run's time with its estimate.
+func (c *Cell) learn(g *group, p *placement) {
+	if p == nil || p.confirmedAt == 0 || g.step.EstimateMs <= 0 || p.phase != phaseRunning || p.sentAt == 0 {
+		return
+	}
+	took := float64(c.now.Sub(p.confirmedAt).Milliseconds())
+	s := c.stats(g.job.queue)
+	s.ratio += ratioWeight * (min(took/float64(g.step.EstimateMs), maxRatio) - s.ratio)
+	c.observe("run_seconds", g.job.queue, c.now.Sub(p.confirmedAt))
+}
+
+// estimate returns how long a task of a step probably runs.
+func (c *Cell) estimate(j *job, s *jobs.Step) time.Duration {
+	return time.Duration(float64(s.EstimateMs) * c.stats(j.queue).ratio * float64(time.Millisecond))
+}
+
+func (c *Cell) advisorChanged(e AdvisorChanged) {
+	a := c.advisors[e.Name]
+	if a == nil {
+		a = &advisor{name: e.Name}
+		c.advisors[e.Name] = a
+	}
+	a.up, a.calls, a.freeFrom = e.Up, 0, c.now
+}
+
+// askRetry is the pause before a group is asked about again for want of room
+// at the workers that are known to be eligible.
+const askRetry = 150 * time.Millisecond
+
+// askFor asks which workers may run a group, if a call can help.
+func (c *Cell) askFor(g *group, q *jobs.Queue) {
+	if g.asking > 0 || g.askedAt != 0 && c.now.Sub(g.askedAt) < askRetry {
+		return
+	}
+	names := c.askAbout(g, q)
+	if len(names) == 0 {
+		return
+	}
+	cost := q.Eligibility.Cost(len(names))
+	list := c.sortedAdvisors()
+	plain := make([]eligibility.Advisor, len(list))
+	for i, a := range list {
+		plain[i] = eligibility.Advisor{Up: a.up, Calls: a.calls, FreeFrom: a.freeFrom}
+	}
+	at := eligibility.Choose(c.now, plain, cost)
+	if at < 0 {
+		return
+	}
+	a := list[at]
+	a.calls++
+	a.freeFrom = max(a.freeFrom, c.now).Add(cost)
+	g.asking++
+	g.askedAt = c.now
+	c.log("eligibility asked", g.job.id, Fields{Count: len(names), Reason: a.name, Age: c.now.Sub(g.readyAt)})
+	c.emit(Ask{Advisor: a.name, Job: g.job.id, Step: g.index, Occur: g.occurrence, Workers: names, Cost: cost})
+}
+
+// askAbout returns the workers to ask about: first those with room that are
+// known to be eligible and whose permit is about to expire, then unknown ones.
+func (c *Cell) askAbout(g *group, q *jobs.Queue) []model.WorkerName {
+	need, headroom := room(g.step), c.headroom(g)
+	var pool []*worker
+	fitting := 0
+	for _, w := range c.list {
+		if !c.allowed(g, q, w) || c.health.Quarantined(w.info.Name) {
+			continue
+		}
+		if ok, known := g.eligible[w.info.Name]; known && !ok {
+			continue
+		}
+		if p, ok := g.permits[w.info.Name]; ok && p.boot == w.boot && p.expires.Sub(c.now) > permitMargin {
+			continue
+		}
+		if need.MilliCPU > w.info.Capacity.MilliCPU || need.MemoryMB > w.info.Capacity.MemoryMB {
+			continue
+		}
+		pool = append(pool, w)
+		if f := w.free(); need.MilliCPU+headroom <= f.MilliCPU && need.MemoryMB <= f.MemoryMB {
+			fitting++
+		}
+	}
+	if fitting == 0 && len(g.eligible) > 0 {
+		return nil // asking again makes no room
+	}
+	slices.SortStableFunc(pool, func(a, b *worker) int {
+		return cmp.Or(-cmp.Compare(knownFirst(g, a), knownFirst(g, b)), -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU))
+	})
+	perWorker := 1
+	if need.MilliCPU > 0 && len(pool) > 0 {
+		perWorker = max(1, int(pool[0].info.Capacity.MilliCPU/2/need.MilliCPU))
+	}
+	n := min(len(pool), eligibility.Ask(g.pending, perWorker, c.stats(g.job.queue).eligible))
+	names := make([]model.WorkerName, n)
+	for i := range names {
+		names[i] = pool[i].info.Name
+	}
+	return names
+}
+
+// knownFirst is higher for workers with room that are known to be eligible.
+func knownFirst(g *group, w *worker) int {
+	if g.eligible[w.info.Name] && w.free().MilliCPU >= g.step.Need.MilliCPU {
+		return 1
+	}
+	return 0
+}
+
+func (c *Cell) sortedAdvisors() []*advisor {
+	out := make([]*advisor, 0, len(c.advisors))
+	for _, a := range c.advisors {
+		out = append(out, a)
+	}
+	// The owner itself comes first: it is kept for quick calls, which then need
+	// no message.
+	slices.SortFunc(out, func(a, b *advisor) int {
+		return cmp.Or(-cmp.Compare(isSelf(a, c), isSelf(b, c)), cmp.Compare(a.name, b.name))
+	})
+	return out
+}
+
+func isSelf(a *advisor, c *Cell) int {
+	if a.name == c.cfg.Self {
+		return 1
+	}
+	return 0
+}
+
+func (c *Cell) eligibilityAnswered(e EligibilityAnswered) {
+	if a := c.advisors[e.Advisor]; a != nil && a.calls > 0 {
+		a.calls--
+		if a.calls == 0 {
+			a.freeFrom = c.now
+		}
+	}
+	j := c.jobs[e.Job]
+	if j == nil || j.state.Final() {
+		return
+	}
+	g := j.group(e.Occur, e.Step)
+	if g == nil {
+		return
+	}
+	g.asking = max(0, g.asking-1)
+	if e.Failed {
+		c.log("eligibility call failed", j.id, Fields{Reason: e.Advisor, Age: c.now.Sub(g.askedAt)})
+		return
+	}
+	c.observe("eligibility_seconds", j.queue, c.now.Sub(g.askedAt))
+	if g.permits == nil {
+		g.permits, g.eligible = map[model.WorkerName]permit{}, map[model.WorkerName]bool{}
+	}
+	for _, name := range e.Asked {
+		g.eligible[name] = false
+	}
+	for _, p := range e.Eligible {
+		g.eligible[p.Worker] = true
+		if w := c.workers[p.Worker]; w != nil {
+			g.permits[p.Worker] = permit{token: p.Token, boot: w.boot, expires: c.now.Add(e.ValidFor)}
+		}
+	}
+	if len(e.Asked) > 0 {
+		s := c.stats(j.queue)
+		s.eligible += shareWeight * (float64(len(e.Eligible))/float64(len(e.Asked)) - s.eligible)
+	}
+	c.log("eligibility known", j.id, Fields{Count: len(e.Eligible), Age: c.now.Sub(g.askedAt)})
+}
--- /dev/null
+++ b/internal/cell/cell.go
@@ -0,0 +1,131 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Step takes events in their order and returns what is to be done. The time
+// must not go back between calls, and must include times of suspension.
+func (c *Cell) Step(now model.Time, events ...Event) []Effect {
+	c.now = now
+	c.out = nil
+	for _, e := range events {
+		c.handle(e)
+	}
+	if c.role == roleOwner {
+		c.schedule()
+		c.pump()
+		c.flush()
+	}
+	return c.out
+}
+
+func (c *Cell) handle(e Event) {
+	switch e := e.(type) {
+	case ConfigChanged:
+		c.configChanged(e.Config)
+	case JobAdded:
+		c.jobAdded(e.Job)
+	case JobCancelled:
+		c.jobCancelled(e.ID)
+	case JobDropped:
+		c.jobDropped(e.ID)
+	case ProgressRead:
+		c.progressRead(e.ID, &e.Progress)
+	case ClaimRead:
+		c.claimRead(e.Claim)
+	case StreamRead:
+		c.streamRead(e)
+	case WorkerListed:
+		c.workerListed(e.Info)
+	case WorkerUnlisted:
+		c.workerUnlisted(e.Name)
+	case LinkChanged:
+		c.linkUp, c.linkAt = e.Up, c.now
+	case AdvisorChanged:
+		c.advisorChanged(e)
+	case Claimed:
+		c.claimed(e)
+	case Tick:
+		c.tick(e)
+	case DrainStarted:
+		c.draining = true
+		c.log("drain started", "", Fields{Epoch: c.epoch})
+	default:
+		if c.role == roleOwner {
+			c.handleAnswer(e)
+		}
+	}
+}
+
+// handleAnswer takes the answers to an owner's calls. Those that arrive after
+// the ownership has ended concern nobody.
+func (c *Cell) handleAnswer(e Event) {
+	switch e := e.(type) {
+	case Renewed:
+		c.renewed(e)
+	case StartAnswered:
+		c.startAnswered(e)
+	case StopAnswered:
+		c.stopAnswered(e)
+	case EligibilityAnswered:
+		c.eligibilityAnswered(e)
+	case Appended:
+		c.appended(e)
+	}
+}
+
+func (c *Cell) configChanged(cfg *jobs.Config) {
+	if c.config != nil && cfg.Version <= c.config.Version {
+		return
+	}
+	c.config = cfg
+	c.log("configuration in force", "", Fields{Count: int(cfg.Version)})
+	c.resort = true
+}
+
+func (c *Cell) tick(e Tick) {
+	c.unixMs = e.UnixMs
+	switch c.role {
+	case roleFollower:
+		c.considerClaim()
+	case roleOwner:
+		c.ownerTick()
+	}
+}
+
+func (c *Cell) ownerTick() {
+	c.releaseDue()
+	c.checkWorkers()
+	c.checkRuns()
+	c.forgetOld()
+}
+
+// queueOf returns the configuration of a job's queue. A queue that was removed
+// has no priority over others, and its jobs still run.
+func (c *Cell) queueOf(j *job) *jobs.Queue {
+	if q := c.config.Queue(j.queue); q != nil {
+		return q
+	}
+	return &jobs.Queue{Name: j.queue, Priority: lowestPriority, MaxAttempts: 1}
+}
+
+// lowestPriority orders jobs whose queue is not in the configuration.
+const lowestPriority = 1 << 20
+
+func (c *Cell) workerOf(name model.WorkerName) *worker {
+	w := c.workers[name]
+	if w == nil {
+		w = &worker{info: jobs.WorkerInfo{Name: name}, runs: map[jobs.TaskRef]*placement{}}
+		c.workers[name] = w
+		at, _ := slices.BinarySearchFunc(c.list, name, func(w *worker, n model.WorkerName) int {
+			return cmp.Compare(w.info.Name, n)
+		})
+		c.list = slices.Insert(c.list, at, w)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/cell/config.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// TickInterval is the period of Tick events. It is a small part of the shortest
+// timeout below.
+const TickInterval = 50 * time.Millisecond
+
+// Timing of ownership and leases.
+const (
+	// heartbeatInterval is the longest pause between an owner's appends.
+	heartbeatInterval = 300 * time.Millisecond
+	// silenceWithLink is how long the owner's entries may be missing while its
+	// connection works. It covers five heartbeats and a slow store.
+	silenceWithLink = 1500 * time.Millisecond
+	// silenceWithoutLink is the same once the connection is lost. It covers two
+	// heartbeats and one read of the stream.
+	silenceWithoutLink = 700 * time.Millisecond
+	// readFresh is how old the newest complete read of the stream may be for
+	// an instance to judge the owner's silence by it.
+	readFresh = 600 * time.Millisecond
+	// claimSpread separates the claims of instances that suspect the owner at
+	// the same time.
+	claimSpread = 250 * time.Millisecond
+	// claimRetry is the pause after a lost or failed claim.
+	claimRetry = 400 * time.Millisecond
+	// yieldPause keeps an owner that gave the cell up from claiming it at once.
+	yieldPause = 8 * time.Second
+
+	// clockRate bounds how much slower than the owner's clock a worker's may
+	// run, as the platform promises.
+	clockRate = 0.02
+	// leaseMargin covers rounding to whole milliseconds and the way of an answer.
+	leaseMargin = 100 * time.Millisecond
+	// idleWait and busyWait are how long a worker may hold back the answer to a
+	// Renew if no run ends. Busy workers are asked more often, since their
+	// answer also tells the progress of runs.
+	idleWait = 1500 * time.Millisecond
+	busyWait = 700 * time.Millisecond
+	// renewPause separates renewals while ends wait for the store, or after a
+	// renewal that failed.
+	renewPause = 300 * time.Millisecond
+	// stopRetry is the pause before a stop without an answer is sent again.
+	stopRetry = 400 * time.Millisecond
+	// forgetInterval is how often finished jobs are looked through.
+	forgetInterval = 5 * time.Second
+	// refusedPause keeps new work away from a worker that refused a start.
+	refusedPause = 500 * time.Millisecond
+)
+
+// Config is what a cell needs to know of its instance and of the platform.
+type Config struct {
+	Name       string // the cell's name
+	Self       string // the instance's incarnation
+	Address    string // of this instance, for others
+	DataCentre model.DataCentre
+	Lease      time.Duration // longest lease that workers grant
+	// Spread in [0,1) orders the claims of instances.
+	Spread float64
+	// Retention is how long the state of a finished job is kept.
+	Retention time.Duration
+}
--- /dev/null
+++ b/internal/cell/effect.go
@@ -0,0 +1,137 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Effect is something to be done.
+type Effect interface{ isEffect() }
+
+// Append writes entries to the progress stream under the owner's epoch. It is
+// answered by Appended. At most one is in flight.
+type Append struct {
+	Commit  uint64 // counts the appends of an epoch from 1
+	Epoch   int64
+	Entries []Entry
+}
+
+// Entry is one record of a keyed stream. An empty value removes the key.
+type Entry struct {
+	Key   string
+	Value []byte
+}
+
+// TryClaim appends a claim if the progress stream still ends at At. It is
+// answered by Claimed.
+type TryClaim struct {
+	Claim jobs.Claim
+	At    int64
+}
+
+// Renew extends a worker's lease, acknowledges ends and asks what it runs. It
+// is answered by Renewed. At most one for each worker is in flight.
+type Renew struct {
+	Worker   model.WorkerName
+	Address  string
+	Epoch    int64
+	AckedEnd int64
+	// LeaseUntil is a time of the worker's clock; zero leaves the lease as it is.
+	LeaseUntil model.WorkerTime
+	Wait       time.Duration // the worker answers earlier if a run ends
+}
+
+// Start starts a run. It is answered by StartAnswered.
+type Start struct {
+	Worker     model.WorkerName
+	Address    string
+	Epoch      int64
+	Task       jobs.TaskRef
+	Run        int
+	Payload    string
+	LeaseUntil model.WorkerTime
+	Checkpoint string
+	Permit     string
+}
+
+// Stop ends a run, and bars it and all earlier runs of the task if it has not
+// begun. It is answered by StopAnswered.
+type Stop struct {
+	Worker  model.WorkerName
+	Address string
+	Epoch   int64
+	Task    jobs.TaskRef
+	Run     int
+}
+
+// Ask asks an instance to find out which workers may run a step. It is
+// answered by EligibilityAnswered.
+type Ask struct {
+	Advisor string
+	Job     jobs.ID
+	Step    int
+	Occur   int
+	Workers []model.WorkerName
+	Cost    time.Duration // that the call is expected to take
+}
+
+// Forget removes the entries of a finished job from both streams.
+type Forget struct{ ID jobs.ID }
+
+// RoleChanged says that this instance became, or stopped being, the owner.
+type RoleChanged struct {
+	Owner bool
+	Epoch int64
+}
+
+// Reload asks the driver to build a new Cell from the store, since this one
+// has acted on state that the store does not have.
+type Reload struct{ Reason string }
+
+// Log is one line that explains a decision.
+type Log struct {
+	What string
+	Job  jobs.ID // empty if the line is not about one job
+	Fields
+}
+
+// Fields are the inputs of a decision. Empty ones are left out.
+type Fields struct {
+	Worker  model.WorkerName
+	Task    jobs.TaskRef // printed if Run or HasTask is set
+	HasTask bool
+	Run     int
+	Epoch   int64
+	Age     time.Duration // of the input that decided
+	Count   int
+	Reason  string
+	Outcome string
+}
+
+// Observe adds one value to a latency histogram.
+type Observe struct {
+	Name  string
+	Label string
+	Value time.Duration
+}
+
+// Count adds to a counter.
+type Count struct {
+	Name  string
+	Label string
+}
+
+func (Append) isEffect()      {}
+func (TryClaim) isEffect()    {}
+func (Renew) isEffect()       {}
+func (Start) isEffect()       {}
+func (Stop) isEffect()        {}
+func (Ask) isEffect()         {}
+func (Forget) isEffect()      {}
+func (RoleChanged) isEffect() {}
+func (Reload) isEffect()      {}
+func (Log) isEffect()         {}
+func (Observe) isEffect()     {}
+func (Count) isEffect()       {}
--- /dev/null
+++ b/internal/cell/fold.go
@@ -0,0 +1,139 @@
+package cell
+
+import (
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// jobAdded takes a submission from the store. A repeated one is the same job.
+func (c *Cell) jobAdded(s jobs.Job) {
+	if c.jobs[s.ID] != nil {
+		return
+	}
+	j := &job{
+		id: s.ID, queue: s.Queue, payload: s.Payload, schedule: s.Schedule, steps: s.Steps,
+		submitted: s.SubmittedMs, arrived: c.now, state: jobs.Queued, stored: jobs.Queued,
+		progress: c.early[s.ID], cancelled: c.cancels[s.ID],
+	}
+	delete(c.early, s.ID)
+	delete(c.cancels, s.ID)
+	c.jobs[s.ID] = j
+	if j.progress != nil {
+		j.applyState(j.progress)
+	}
+	if c.role != roleOwner {
+		return
+	}
+	c.log("job accepted", j.id, Fields{Reason: j.queue, Count: len(j.steps)})
+	c.activate(j)
+}
+
+func (c *Cell) jobCancelled(id jobs.ID) {
+	j := c.jobs[id]
+	if j == nil {
+		c.cancels[id] = true
+		return
+	}
+	if j.cancelled {
+		return
+	}
+	j.cancelled = true
+	if c.role == roleOwner {
+		c.cancelJob(j)
+	}
+}
+
+func (c *Cell) jobDropped(id jobs.ID) {
+	if j := c.jobs[id]; j != nil && j.state.Final() {
+		delete(c.jobs, id)
+	}
+	delete(c.cancels, id)
+	delete(c.early, id)
+}
+
+// progressRead takes an entry that an owner wrote. An owner itself knows more
+// than its entries say.
+func (c *Cell) progressRead(id jobs.ID, p *jobs.Progress) {
+	c.ownerSeen = c.now
+	if c.role == roleOwner {
+		return
+	}
+	j := c.jobs[id]
+	if j == nil {
+		c.early[id] = p
+		return
+	}
+	j.progress = p
+	j.applyState(p)
+}
+
+// applyState takes over what callers see. The details are applied when the
+// instance becomes the owner.
+func (j *job) applyState(p *jobs.Progress) {
+	j.state, j.stored, j.finished = p.State, p.State, p.FinishedMs
+	j.started = j.started || p.State != jobs.Queued
+	if p.State.Final() {
+		j.release()
+	}
+}
+
+// release drops what only an unfinished job needs.
+func (j *job) release() {
+	j.payload, j.steps, j.groups, j.progress = "", nil, nil, nil
+}
+
+func (c *Cell) claimRead(claim jobs.Claim) {
+	c.maxEpoch = max(c.maxEpoch, claim.Epoch)
+	if claim.Epoch < c.claim.Epoch {
+		return
+	}
+	changed := claim.Owner != c.claim.Owner || claim.Epoch != c.claim.Epoch || claim.Released != c.claim.Released
+	c.claim, c.ownerSeen = claim, c.now
+	if changed {
+		c.claimAt = c.now
+		c.log("owner changed", "", Fields{Epoch: claim.Epoch, Reason: claim.Owner, Outcome: releasedText(claim.Released)})
+	}
+}
+
+func releasedText(released bool) string {
+	if released {
+		return "released"
+	}
+	return "claimed"
+}
+
+func (c *Cell) streamRead(e StreamRead) {
+	c.streamEnd, c.streamAt = e.End, e.SentAt
+	if e.Records > 0 {
+		c.ownerSeen = c.now
+	}
+}
+
+func (c *Cell) workerListed(info jobs.WorkerInfo) {
+	w := c.workerOf(info.Name)
+	if info.Boot != 0 && w.info.Boot != 0 && info.Boot < w.info.Boot {
+		return // an entry of an earlier life
+	}
+	was := w.info.Draining
+	appeared := !w.listed
+	w.info, w.listed = info, true
+	if appeared || was != info.Draining {
+		c.log("worker listed", "", Fields{Worker: info.Name, Outcome: drainingText(info.Draining)})
+	}
+}
+
+func drainingText(draining bool) string {
+	if draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+func (c *Cell) workerUnlisted(name model.WorkerName) {
+	w := c.workers[name]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed, w.goneAt = false, c.now
+	c.log("worker unlisted", "", Fields{Worker: name, Count: len(w.runs)})
+}
--- /dev/null
+++ b/internal/cell/ownership.go
@@ -0,0 +1,223 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+)
+
+// considerClaim tries to take the cell over if its owner gave it up or shows no
+// sign of life. A mistaken suspicion does no harm: the claim is conditional on
+// the end of the progress stream, which a live owner moves with each heartbeat.
+func (c *Cell) considerClaim() {
+	if c.draining || c.config == nil || c.now < c.tryAt || c.streamAt == 0 {
+		return
+	}
+	if c.now.Sub(c.streamAt) > readFresh {
+		return // the store can't be read, so the owner's silence means nothing
+	}
+	if c.yielded != 0 && c.now.Sub(c.yielded) < yieldPause {
+		return
+	}
+	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
+	if silent < limit+time.Duration(c.cfg.Spread*float64(claimSpread)) {
+		return
+	}
+	c.role = roleClaiming
+	c.maxEpoch++
+	c.log("claim sent", "", Fields{Epoch: c.maxEpoch, Age: silent, Reason: c.claim.Owner})
+	c.emit(TryClaim{At: c.streamEnd, Claim: jobs.Claim{
+		Epoch: c.maxEpoch, Owner: c.cfg.Self, Address: c.cfg.Address, DataCentre: c.cfg.DataCentre,
+	}})
+}
+
+// patience returns how long the owner may be silent.
+func (c *Cell) patience() time.Duration {
+	switch {
+	case c.claim.Epoch == 0 || c.claim.Released:
+		return 0
+	case c.linkUp:
+		return silenceWithLink
+	}
+	return silenceWithoutLink
+}
+
+// claimed makes the instance the owner if its claim is in the store. It has
+// folded every entry before the claim, since the claim was conditional on that.
+func (c *Cell) claimed(e Claimed) {
+	if c.role != roleClaiming || e.Epoch != c.maxEpoch {
+		return
+	}
+	if !e.Won {
+		c.role = roleFollower
+		c.tryAt = c.now.Add(claimRetry)
+		c.log("claim lost", "", Fields{Epoch: e.Epoch})
+		return
+	}
+	c.role, c.epoch = roleOwner, e.Epoch
+	c.evidence, c.ownerSince, c.lastSent = e.SentAt, c.now, c.now
+	c.claim = jobs.Claim{Epoch: e.Epoch, Owner: c.cfg.Self, Address: c.cfg.Address, DataCentre: c.cfg.DataCentre}
+	c.commit = 0
+	// What an earlier owner granted ends at the latest this long after the
+	// claim reached the store.
+	for _, j := range c.sortedJobs() {
+		c.activate(j)
+	}
+	for _, w := range c.list {
+		w.leaseEnd = c.now.Add(c.longestLease())
+	}
+	c.observe("takeover_silence_seconds", "", c.now.Sub(c.ownerSeen))
+	c.log("cell owned", "", Fields{Epoch: c.epoch, Count: len(c.jobs), Age: c.now.Sub(c.ownerSeen)})
+	c.emit(RoleChanged{Owner: true, Epoch: c.epoch})
+}
+
+// sortedJobs returns all jobs in the order of their submission.
+func (c *Cell) sortedJobs() []*job {
+	out := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		out = append(out, j)
+	}
+	sortJobs(out)
+	return out
+}
+
+// reload gives up everything that this instance believes. Its memory holds
+// decisions that the store does not have.
+func (c *Cell) reload(reason string) {
+	if c.role != roleOwner {
+		return
+	}
+	c.role = roleFollower
+	c.log("cell lost", "", Fields{Epoch: c.epoch, Reason: reason, Age: c.now.Sub(c.evidence)})
+	c.emit(RoleChanged{Epoch: c.epoch})
+	c.emit(Reload{Reason: reason})
+}
+
+// appended takes the answer to an append. What it stored may now be acted on.
+func (c *Cell) appended(e Appended) {
+	in := c.inFlight
+	if in == nil || in.number != e.Commit {
+		return
+	}
+	if e.Fenced {
+		c.reload("a newer claim is in the store")
+		return
+	}
+	c.inFlight = nil
+	c.evidence = max(c.evidence, e.SentAt)
+	c.observe("append_seconds", "", c.now.Sub(in.sentAt))
+	for _, s := range in.states {
+		s.job.stored = s.state
+		if s.state.Final() {
+			s.job.release()
+		}
+	}
+	for w, seq := range in.ends {
+		w.durableEnd = max(w.durableEnd, seq)
+	}
+	if in.release {
+		c.role, c.yielded = roleFollower, c.now
+		c.claim.Released = true
+		c.log("cell released", "", Fields{Epoch: c.epoch})
+		c.emit(RoleChanged{Epoch: c.epoch})
+		c.emit(Reload{Reason: "released"})
+		return
+	}
+	for _, p := range in.planned {
+		c.startPlaced(p)
+	}
+}
+
+// flush appends everything that changed, or a heartbeat.
+func (c *Cell) flush() {
+	if c.inFlight != nil || c.released {
+		return
+	}
+	beat := c.now.Sub(c.lastSent) >= heartbeatInterval
+	if len(c.dirty) == 0 && len(c.planned) == 0 && !c.endsDirty && !beat && !c.wantsRelease() {
+		return
+	}
+	c.commit++
+	in := &commit{number: c.commit, sentAt: c.now, ends: map[*worker]int64{}}
+	a := Append{Commit: c.commit, Epoch: c.epoch}
+	for _, j := range c.dirty {
+		j.dirty = false
+		p := j.snapshot()
+		in.states = append(in.states, jobState{job: j, state: j.state})
+		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(j.id), Value: jobs.Encode(p)})
+	}
+	for _, w := range c.list {
+		if w.seenEnd > w.durableEnd {
+			in.ends[w] = w.seenEnd
+		}
+	}
+	in.planned = c.planned
+	c.dirty, c.planned, c.endsDirty = nil, nil, false
+	if c.wantsRelease() {
+		in.release, c.released = true, true
+		released := c.claim
+		released.Released = true
+		a.Entries = append(a.Entries, Entry{Key: jobs.KeyOwner, Value: jobs.Encode(released)})
+	} else if len(a.Entries) == 0 {
+		a.Entries = append(a.Entries, Entry{Key: jobs.KeyOwner, Value: jobs.Encode(c.claim)})
+	}
+	c.inFlight, c.lastSent = in, c.now
+	c.emit(a)
+}
+
+// wantsRelease reports whether the owner gives the cell up. It waits for the
+// answers of starts, so that the successor finds few of them in doubt.
+func (c *Cell) wantsRelease() bool { return c.draining || c.yielding }
+
+// snapshot returns the entry that describes a job.
+func (j *job) snapshot() *jobs.Progress {
+	p := &jobs.Progress{State: j.state, FinishedMs: j.finished}
+	if j.state.Final() {
+		return p
+	}
+	for _, g := range j.groups {
+		if gp := g.snapshot(); gp != nil {
+			p.Groups = append(p.Groups, *gp)
+		}
+	}
+	return p
+}
+
+func (g *group) snapshot() *jobs.GroupProgress {
+	gp := &jobs.GroupProgress{Occurrence: g.occurrence, Step: g.index, Run: g.run, Failures: g.failures, FailedRun: g.failedRun}
+	touched := g.run > 0 || g.doneCount > 0
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.state == taskDone {
+			gp.Done.Set(i)
+			continue
+		}
+		if t.run == 0 && t.checkpoint == "" {
+			continue
+		}
+		touched = true
+		tp := jobs.TaskProgress{Index: i, Run: t.run, Failures: t.failures, FailedRun: t.failedRun, Checkpoint: t.checkpoint}
+		if t.placement != nil {
+			tp.Worker = t.placement.worker.info.Name
+		}
+		gp.Tasks = append(gp.Tasks, tp)
+	}
+	if !touched {
+		return nil
+	}
+	return gp
+}
+
+// forgetOld removes finished jobs after their retention.
+func (c *Cell) forgetOld() {
+	if c.now.Sub(c.forgetAt) < forgetInterval {
+		return
+	}
+	c.forgetAt = c.now
+	for _, j := range c.sortedJobs() {
+		if j.stored.Final() && !j.dirty && j.finished != 0 && c.unixMs-j.finished > c.cfg.Retention.Milliseconds() {
+			c.emit(Forget{ID: j.id})
+			delete(c.jobs, j.id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/runs.go
@@ -0,0 +1,253 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+)
+
+// startPlaced sends the start of a placement that the store has.
+func (c *Cell) startPlaced(p *placement) {
+	if p.phase != phasePlanned {
+		return
+	}
+	g, w := p.group, p.worker
+	if g.job.state.Final() || !w.fenced {
+		c.dropUnsent(p, "no longer wanted")
+		return
+	}
+	perm, needed := g.permits[w.info.Name], c.queueOf(g.job).Eligibility.Needed()
+	if needed && (perm.boot != w.boot || c.now >= perm.expires) {
+		c.dropUnsent(p, "permit expired")
+		return
+	}
+	t := &g.tasks[p.ref.Index]
+	p.phase, p.sentAt = phaseStarting, c.now
+	j := g.job
+	if !j.started {
+		j.started = true
+		c.observe("job_wait_seconds", j.queue, c.now.Sub(j.arrived))
+	}
+	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
+	c.emit(Start{
+		Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run,
+		Payload: j.payload, LeaseUntil: c.leaseUntil(w), Checkpoint: t.checkpoint, Permit: perm.token,
+	})
+}
+
+// dropUnsent takes back a placement whose start was never sent.
+func (c *Cell) dropUnsent(p *placement, reason string) {
+	c.log("placement dropped", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: reason})
+	c.removePlacement(p)
+	c.requeue(p, "")
+	if g := p.group; g.step.Gang {
+		c.breakGang(g, p.run, "a member was not started")
+	}
+}
+
+func (c *Cell) startAnswered(e StartAnswered) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	p := w.runs[e.Task]
+	if p == nil || p.run != e.Run {
+		return // its end was listed first
+	}
+	if e.Verdict != Accepted {
+		c.log("start refused", e.Task.Job, Fields{Task: e.Task, HasTask: true, Run: e.Run, Worker: e.Worker, Outcome: e.Verdict.String()})
+	}
+	c.count("starts_total", e.Verdict.String())
+	switch e.Verdict {
+	case Accepted:
+		c.confirm(p)
+	case Superseded:
+		c.reload("a worker has seen a higher epoch")
+	case Busy, NotSent, TooLate, Malformed, NoRoom, NoPermit, OtherInstance:
+		if p.phase != phaseStarting {
+			return
+		}
+		if e.Verdict == NoPermit {
+			delete(p.group.permits, e.Worker)
+		}
+		if e.Verdict != NoPermit && e.Verdict != OtherInstance {
+			w.refusedUntil = c.now.Add(refusedPause)
+		}
+		c.removePlacement(p)
+		c.requeue(p, "")
+		if p.group.step.Gang {
+			c.breakGang(p.group, p.run, "a member was refused")
+		}
+	case Unknown, OldRun:
+		// Either it runs, or it ended, or it may still arrive. A stop settles
+		// all three unless a renewal lists the run before.
+		if p.phase == phaseStarting {
+			c.stop(p, "start without a usable answer")
+		}
+	}
+}
+
+// confirm notes that the worker has a run.
+func (c *Cell) confirm(p *placement) {
+	if p.phase != phaseStarting && p.phase != phaseInherited {
+		return
+	}
+	if p.phase == phaseStarting {
+		c.observe("start_seconds", "", c.now.Sub(p.sentAt))
+	}
+	p.phase, p.confirmedAt, p.percentAt = phaseRunning, c.now, c.now
+	if j := p.group.job; j.state == jobs.Queued {
+		j.state, j.started = jobs.Running, true
+		c.markDirty(j)
+	}
+}
+
+// stop ends a run. Its room is held until the worker says that it is over.
+func (c *Cell) stop(p *placement, reason string) {
+	switch p.phase {
+	case phaseStopping, phaseInherited:
+		return // an inherited run is settled when its worker has answered
+	case phasePlanned:
+		c.removePlacement(p)
+		c.requeue(p, "")
+		return
+	}
+	p.phase, p.reason = phaseStopping, reason
+	c.sendStop(p)
+}
+
+func (c *Cell) sendStop(p *placement) {
+	if p.stopping || !p.worker.fenced {
+		return
+	}
+	p.stopping, p.stopSentAt = true, c.now
+	c.log("stop sent", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: p.reason})
+	c.emit(Stop{Worker: p.worker.info.Name, Address: p.worker.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run})
+}
+
+func (c *Cell) stopAnswered(e StopAnswered) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	p := w.runs[e.Task]
+	if p == nil || p.run != e.Run || p.phase != phaseStopping {
+		return
+	}
+	p.stopping = false
+	switch e.Verdict {
+	case Accepted:
+		// The worker has it stopped or barred. Its end, or a list without it,
+		// frees the room.
+		p.confirmedAt = c.now
+		p.unlisted = 0
+	case Superseded:
+		c.reload("a worker has seen a higher epoch")
+	}
+}
+
+// runEnded takes one end that a worker lists.
+func (c *Cell) runEnded(w *worker, e RunEnd) {
+	p := w.runs[e.Task]
+	if p != nil && p.run != e.Run {
+		if e.Run > p.run {
+			c.log("end of a run that was not placed", e.Task.Job, Fields{Task: e.Task, HasTask: true, Run: e.Run, Worker: w.info.Name, Outcome: string(e.Outcome)})
+		}
+		p = nil
+	}
+	j := c.jobs[e.Task.Job]
+	var g *group
+	if j != nil {
+		g = j.group(e.Task.Occurrence, e.Task.Step)
+	}
+	var took Fields
+	if p != nil {
+		took.Age = c.now.Sub(p.confirmedAt)
+		c.removePlacement(p)
+	}
+	c.log("run ended", e.Task.Job, Fields{Task: e.Task, HasTask: true, Run: e.Run, Worker: w.info.Name, Outcome: string(e.Outcome), Age: took.Age, Count: int(e.Seq)})
+	c.count("ends_total", string(e.Outcome))
+	if g == nil || e.Task.Index >= len(g.tasks) {
+		return
+	}
+	c.noteHealth(w, g, p, e)
+	switch {
+	case g.step.Lasting && (e.Outcome == jobs.OutcomeDone || e.Outcome == jobs.OutcomeFailed):
+	case e.Outcome == jobs.OutcomeDone:
+		c.learn(g, p)
+		c.runDone(g, e.Task.Index)
+		return
+	case e.Outcome == jobs.OutcomeFailed:
+		c.failTask(g, e.Task.Index, e.Run, w)
+	}
+	if p == nil || p.group == nil {
+		return
+	}
+	c.requeue(p, e.Checkpoint)
+	if g.step.Gang {
+		c.breakGang(g, e.Run, string(e.Outcome)+" member")
+	}
+}
+
+// runDone marks the task of a run, or its whole gang, as done.
+func (c *Cell) runDone(g *group, index int) {
+	if g.job.state.Final() {
+		return
+	}
+	if !g.step.Gang {
+		if other := g.tasks[index].placement; other != nil {
+			c.stop(other, "another run is done")
+		}
+		c.taskIsDone(g, index)
+		return
+	}
+	for i := range g.tasks {
+		c.taskIsDone(g, i)
+	}
+}
+
+// breakGang stops what is left of a gang's run, since its members work only
+// together. The members are placed again when all of them are over.
+func (c *Cell) breakGang(g *group, run int, reason string) {
+	for i := range g.tasks {
+		if p := g.tasks[i].placement; p != nil && p.run == run && p.phase != phaseInherited {
+			c.stop(p, reason)
+		}
+	}
+}
+
+// runLost notes that a run is over without an end being listed.
+func (c *Cell) runLost(p *placement, reason string) {
+	c.log("run lost", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: reason, Outcome: p.phase.String()})
+	c.count("runs_lost_total", reason)
+	c.removePlacement(p)
+	c.requeue(p, p.saved)
+	if p.group != nil && p.group.step.Gang {
+		c.breakGang(p.group, p.run, "lost member")
+	}
+}
+
+// checkRuns sends stops again that had no answer.
+func (c *Cell) checkRuns() {
+	for _, w := range c.list {
+		for _, p := range sortedRuns(w) {
+			if p.phase == phaseStopping && !p.stopping && c.now.Sub(p.stopSentAt) >= stopRetry {
+				c.sendStop(p)
+			}
+		}
+	}
+}
+
+// sortedRuns returns a worker's placements in a fixed order.
+func sortedRuns(w *worker) []*placement {
+	out := make([]*placement, 0, len(w.runs))
+	for _, p := range w.runs {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *placement) int {
+		return cmp.Or(cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
+			cmp.Compare(a.ref.Step, b.ref.Step), cmp.Compare(a.ref.Index, b.ref.Index))
+	})
+	return out
+}
--- /dev/null
+++ b/internal/cell/schedule.go
@@ -0,0 +1,233 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
+	"github.com/gentianpick/gentianpick/internal/policy/rank"
+)
+
+const (
+	// rankInterval is how often the order of waiting groups is computed anew
+	// without a change, since work becomes late as time passes.
+	rankInterval = 100 * time.Millisecond
+	// permitMargin is how much longer a permit must be valid than until the
+	// placement; the store and the way to the worker take part of it.
+	permitMargin = 150 * time.Millisecond
+	// headroomCPU is left free on each worker by work that is not urgent, in
+	// thousandths of a core. It takes one task of a usual urgent job.
+	headroomCPU = 1500
+)
+
+// schedule places waiting tasks in the order of their rank.
+func (c *Cell) schedule() {
+	if c.config == nil || c.released || c.wantsRelease() {
+		return
+	}
+	c.sortReady()
+	kept := c.ready[:0]
+	for _, g := range c.ready {
+		if g.pending > 0 && !g.job.state.Final() {
+			c.placeGroup(g)
+		}
+		if g.pending > 0 && !g.job.state.Final() {
+			kept = append(kept, g)
+		} else {
+			g.queued = false
+		}
+	}
+	clear(c.ready[len(kept):])
+	c.ready = kept
+}
+
+func (c *Cell) sortReady() {
+	if !c.resort && c.now.Sub(c.rankedAt) < rankInterval {
+		return
+	}
+	c.resort, c.rankedAt = false, c.now
+	for _, g := range c.ready {
+		g.rank = rank.Key(c.now, c.rankInput(g))
+	}
+	slices.SortStableFunc(c.ready, func(a, b *group) int { return cmp.Compare(a.rank, b.rank) })
+}
+
+func (c *Cell) rankInput(g *group) rank.Input {
+	q := c.queueOf(g.job)
+	arrived := g.job.arrived
+	if due := g.job.schedule.Due(g.occurrence); due != 0 {
+		arrived = g.readyAt
+	}
+	return rank.Input{
+		Priority: q.Priority, Urgent: q.Priority == 0, Arrived: arrived,
+		Chain: c.chain(g.job, g.occurrence, false), Remaining: c.chain(g.job, g.occurrence, true),
+		Stretch: q.StretchX, Goal: q.LatencyGoal,
+	}
+}
+
+// chain returns the time of the longest chain of steps of one occurrence, or
+// of its unfinished ones.
+func (c *Cell) chain(j *job, occurrence int, unfinished bool) time.Duration {
+	var ends [16]time.Duration
+	all := ends[:0]
+	longest := time.Duration(0)
+	for i := range j.steps {
+		own := c.estimate(j, &j.steps[i])
+		if unfinished && j.group(occurrence, i).finished() {
+			own = 0
+		}
+		begin := time.Duration(0)
+		for _, a := range j.steps[i].After {
+			begin = max(begin, all[a])
+		}
+		all = append(all, begin+own)
+		longest = max(longest, begin+own)
+	}
+	return longest
+}
+
+// headroom returns the CPU that a group's tasks must leave free.
+func (c *Cell) headroom(g *group) int64 {
+	if c.queueOf(g.job).Priority == 0 || g.step.Filler {
+		return 0
+	}
+	return headroomCPU
+}
+
+// placeGroup places what it can of a group, and asks for permits that are
+// missing.
+func (c *Cell) placeGroup(g *group) {
+	q := c.queueOf(g.job)
+	if g.step.Gang && (g.placed > 0 || g.pending < len(g.tasks)-g.doneCount) {
+		return // the members of the last run are not all over
+	}
+	d := fit.Demand{Need: room(g.step), Headroom: c.headroom(g), DataRack: g.step.DataRack, OneRack: g.step.Gang && g.step.OneRack}
+	candidates, workers := c.candidates(g, q)
+	var got []int
+	if len(candidates) > 0 {
+		if g.step.Gang {
+			got = fit.PlaceAll(d, candidates, g.pending)
+		} else {
+			got = fit.Place(d, candidates, g.pending)
+		}
+	}
+	if len(got) < g.pending && q.Eligibility.Needed() {
+		c.askFor(g, q)
+	}
+	if len(got) == 0 {
+		return
+	}
+	run := 0
+	if g.step.Gang {
+		run = g.nextRun()
+		g.run = run
+	}
+	next := 0
+	for _, at := range got {
+		for g.tasks[next].state != taskPending {
+			next++
+		}
+		c.place(g, next, workers[candidates[at].Index], run)
+	}
+	c.markDirty(g.job)
+}
+
+// nextRun returns a run number above all that the group's members have used.
+func (g *group) nextRun() int {
+	run := g.run
+	for i := range g.tasks {
+		run = max(run, g.tasks[i].run)
+	}
+	return run + 1
+}
+
+func (c *Cell) place(g *group, index int, w *worker, gangRun int) {
+	run := gangRun
+	if run == 0 {
+		run = g.tasks[index].run + 1
+	}
+	p := c.newPlacement(g, index, w, run)
+	w.probe = false
+	c.planned = append(c.planned, p)
+	c.observe("placement_wait_seconds", g.job.queue, c.now.Sub(g.readyAt))
+	c.log("placed", g.job.id, Fields{
+		Task: p.ref, HasTask: true, Run: run, Worker: w.info.Name, Age: c.now.Sub(g.readyAt), Count: int(w.free().MilliCPU),
+	})
+}
+
+// candidates returns the workers that may run tasks of a group now.
+func (c *Cell) candidates(g *group, q *jobs.Queue) ([]fit.Candidate, []*worker) {
+	var out []fit.Candidate
+	var workers []*worker
+	add := func(w *worker) {
+		if !c.allowed(g, q, w) {
+			return
+		}
+		limit := -1
+		if g.step.MaxPerWorker > 0 {
+			limit = max(0, g.step.MaxPerWorker-g.tasksAt(w))
+		}
+		if c.health.Quarantined(w.info.Name) {
+			if !w.probe || g.step.Gang {
+				return
+			}
+			limit = 1
+		}
+		out = append(out, fit.Candidate{
+			Index: len(workers), Free: w.free(), Capacity: w.info.Capacity, Rack: w.info.Rack, Room: limit, Penalty: c.penalty(g, w),
+		})
+		workers = append(workers, w)
+	}
+	if !q.Eligibility.Needed() {
+		for _, w := range c.list {
+			add(w)
+		}
+		return out, workers
+	}
+	if len(g.permits) == 0 {
+		return nil, nil
+	}
+	for _, w := range c.list {
+		if p, ok := g.permits[w.info.Name]; ok && p.boot == w.boot && p.expires.Sub(c.now) > permitMargin {
+			add(w)
+		}
+	}
+	return out, workers
+}
+
+// allowed reports whether a worker may run tasks of a group, room apart.
+func (c *Cell) allowed(g *group, q *jobs.Queue, w *worker) bool {
+	return w.usable(c.now) && w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
+}
+
+// tasksAt returns how many tasks of a group a worker has.
+func (g *group) tasksAt(w *worker) int {
+	n := 0
+	for i := range g.tasks {
+		if p := g.tasks[i].placement; p != nil && p.worker == w {
+			n++
+		}
+	}
+	return n
+}
+
+// avoidPenalty makes a worker at which a task of the group failed the last
+// choice among those with room.
+const avoidPenalty = 20000
+
+func (c *Cell) penalty(g *group, w *worker) int64 {
+	for i := range g.tasks {
+		if g.tasks[i].avoid == w.info.Name {
+			return avoidPenalty
+		}
+	}
+	return 0
+}
+
+func sortJobs(all []*job) {
+	slices.SortFunc(all, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.submitted, b.submitted), cmp.Compare(a.id, b.id))
+	})
+}
--- /dev/null
+++ b/internal/cell/state.go
@@ -0,0 +1,298 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/health"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// job is one job of the cell.
+type job struct {
+	id        jobs.ID
+	queue     string
+	payload   string
+	schedule  jobs.Schedule
+	steps     []jobs.Step
+	groups    []*group // occurrence by occurrence, each with all steps
+	submitted int64    // Unix milliseconds, by the receiving VM's clock
+	arrived   model.Time
+
+	state     jobs.State // as this instance knows it
+	stored    jobs.State // as the store knows it; this is what callers see
+	cancelled bool
+	started   bool
+	finished  int64 // Unix milliseconds of a final state
+	dirty     bool  // state is not in an append yet
+	progress  *jobs.Progress
+}
+
+// group is one step of one occurrence.
+type group struct {
+	job        *job
+	occurrence int
+	index      int
+	step       *jobs.Step
+	tasks      []task
+	pending    int // tasks that wait for a placement
+	doneCount  int
+	readyAt    model.Time // since when its tasks may start; zero if not yet
+	queued     bool       // is in the cell's ready list
+
+	// Of a gang, whose members share them.
+	run       int
+	failures  int
+	failedRun int
+	placed    int // placements of the present run that are not over
+
+	permits  map[model.WorkerName]permit
+	eligible map[model.WorkerName]bool // what the eligibility service said, by worker
+	asking   int                       // calls in flight
+	askedAt  model.Time
+	rank     int64 // order among ready groups; lower goes first
+}
+
+// permit lets the tasks of a group start on a worker.
+type permit struct {
+	token   string
+	boot    int64 // life of the worker that it is for
+	expires model.Time
+}
+
+// taskState is the state of one task.
+type taskState uint8
+
+const (
+	taskPending taskState = iota
+	taskPlaced            // has a placement
+	taskDone
+)
+
+// task is one task of a group.
+type task struct {
+	state      taskState
+	run        int // highest run number used
+	failures   int
+	failedRun  int
+	placement  *placement
+	checkpoint string
+	avoid      model.WorkerName // where it failed last
+}
+
+// phase is the state of a placement.
+type phase uint8
+
+const (
+	phasePlanned   phase = iota // the store does not have it yet
+	phaseStarting               // the start was sent
+	phaseRunning                // the worker has it
+	phaseStopping               // a stop was sent or is due
+	phaseInherited              // an earlier owner's; the worker was not asked yet
+)
+
+var phaseNames = [...]string{"planned", "starting", "running", "stopping", "inherited"}
+
+func (p phase) String() string { return phaseNames[p] }
+
+// placement is one run of a task at a worker. It holds room until the worker
+// says that the run is over, or the worker's lease has run out.
+type placement struct {
+	group  *group // nil for a run of an unknown job
+	ref    jobs.TaskRef
+	worker *worker
+	run    int
+	need   model.Resources
+	phase  phase
+
+	plannedAt   model.Time
+	sentAt      model.Time
+	confirmedAt model.Time // when the worker was first known to have it
+	stopSentAt  model.Time
+	stopping    bool // a stop is in flight
+	reason      string
+
+	percent   int
+	percentAt model.Time // when percent last grew
+	saved     string
+	unlisted  int // renewals since its confirmation that did not list it
+}
+
+// worker is one worker of the cell.
+type worker struct {
+	info   jobs.WorkerInfo
+	listed bool
+	goneAt model.Time // when its entry went away
+
+	boot    int64
+	fenced  bool // has accepted this owner's epoch
+	clock   model.WorkerTime
+	clockAt model.Time
+	// leaseEnd is when everything it runs has certainly ended, unless renewed.
+	leaseEnd model.Time
+
+	used model.Resources
+	runs map[jobs.TaskRef]*placement
+
+	seenEnd     int64 // ends up to this were handled
+	durableEnd  int64 // ends up to this are in the store
+	renewing    bool
+	renewSent   model.Time
+	renewFailed model.Time
+	failedCalls int // renewals in a row without an answer
+	answeredAt  model.Time
+
+	// refusedUntil keeps new work away after the worker refused a start.
+	refusedUntil model.Time
+	probe        bool // may get one task although it is in quarantine
+}
+
+// free returns what a worker has left.
+func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
+
+// usable reports whether new work may go to a worker.
+func (w *worker) usable(now model.Time) bool {
+	return w.listed && !w.info.Draining && w.fenced && w.failedCalls == 0 && now >= w.refusedUntil
+}
+
+// role is what the instance is for the cell.
+type role uint8
+
+const (
+	roleFollower role = iota
+	roleClaiming
+	roleOwner
+)
+
+// Cell is the state of one cell as one instance knows it. It is not safe for
+// concurrent use.
+type Cell struct {
+	cfg    Config
+	now    model.Time
+	unixMs int64
+	out    []Effect
+
+	config  *jobs.Config
+	jobs    map[jobs.ID]*job
+	early   map[jobs.ID]*jobs.Progress // progress whose submission was not read yet
+	cancels map[jobs.ID]bool           // cancellations whose submission was not read yet
+	workers map[model.WorkerName]*worker
+	list    []*worker // all workers by name
+	health  *health.State
+
+	role       role
+	epoch      int64
+	maxEpoch   int64
+	claim      jobs.Claim // newest one
+	claimAt    model.Time // when it was read
+	ownerSeen  model.Time // newest entry of the owner
+	streamEnd  int64
+	streamAt   model.Time // sending time of the newest complete read
+	linkUp     bool
+	linkAt     model.Time // when linkUp last changed
+	tryAt      model.Time // no claim before
+	draining   bool
+	yielded    model.Time // when this instance gave the cell up
+	evidence   model.Time // when this instance last certainly was the owner
+	ownerSince model.Time
+
+	ready     []*group // groups with pending tasks, in order of rank after a sort
+	resort    bool
+	rankedAt  model.Time
+	dirty     []*job
+	commit    uint64 // number of the append in flight, or of the last one
+	inFlight  *commit
+	lastSent  model.Time
+	planned   []*placement // to be in the next append
+	released  bool
+	yielding  bool // gives the cell up, since another instance can serve it better
+	endsDirty bool // workers listed ends that are not in an append yet
+	forgetAt  model.Time
+
+	advisors map[string]*advisor
+	learned  map[string]*queueStats
+	due      []*group // groups that wait for their time
+}
+
+// commit is an append in flight.
+type commit struct {
+	number  uint64
+	sentAt  model.Time
+	planned []*placement
+	states  []jobState
+	ends    map[*worker]int64
+	release bool
+}
+
+// jobState is a job's state in an append.
+type jobState struct {
+	job   *job
+	state jobs.State
+}
+
+// New returns a cell without jobs. The instance is not its owner.
+func New(cfg Config) *Cell {
+	return &Cell{
+		cfg:      cfg,
+		jobs:     map[jobs.ID]*job{},
+		early:    map[jobs.ID]*jobs.Progress{},
+		cancels:  map[jobs.ID]bool{},
+		workers:  map[model.WorkerName]*worker{},
+		advisors: map[string]*advisor{},
+		learned:  map[string]*queueStats{},
+		health:   health.New(healthConfig()),
+	}
+}
+
+// View is what callers may know of a job.
+type View struct {
+	State     jobs.State
+	Queue     string
+	Cancelled bool
+}
+
+// Job returns the stored state of a job.
+func (c *Cell) Job(id jobs.ID) (View, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return View{}, false
+	}
+	v := View{State: j.stored, Queue: j.queue, Cancelled: j.cancelled}
+	if j.cancelled && !v.State.Final() {
+		v.State = jobs.Cancelled
+	}
+	return v, true
+}
+
+// Waiting returns how many jobs of a queue no task of which has started.
+func (c *Cell) Waiting(queue string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.queue == queue && !j.started && !j.cancelled && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Owner returns the newest claim.
+func (c *Cell) Owner() jobs.Claim { return c.claim }
+
+// IsOwner reports whether this instance owns the cell.
+func (c *Cell) IsOwner() bool { return c.role == roleOwner }
+
+// OwnerAge returns how long ago the owner was last known to act.
+func (c *Cell) OwnerAge(now model.Time) time.Duration { return now.Sub(c.ownerSeen) }
+
+// Jobs returns the number of jobs known.
+func (c *Cell) Jobs() int { return len(c.jobs) }
+
+func (c *Cell) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Cell) log(what string, id jobs.ID, f Fields) { c.emit(Log{What: what, Job: id, Fields: f}) }
+
+func (c *Cell) count(name, label string) { c.emit(Count{Name: name, Label: label}) }
+
+func (c *Cell) observe(name, label string, d time.Duration) {
+	c.emit(Observe{Name: name, Label: label, Value: d})
+}
--- /dev/null
+++ b/internal/cell/workers.go
@@ -0,0 +1,253 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/health"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// healthConfig returns the thresholds of quarantine. Workers here run short
+// tasks, one in twenty of which fails by its own fault, and each failure uses
+// up one of a task's few attempts.
+func healthConfig() health.Config {
+	return health.Config{
+		Streak:       3, // of independent tasks once in 8,000
+		StreakJobs:   2,
+		JobWorkers:   2,
+		Recent:       10 * time.Second,
+		ShareDivisor: 3,
+		ProbeFirst:   1500 * time.Millisecond,
+		ProbeMax:     10 * time.Second,
+		ProbeTimeout: 3 * time.Second,
+	}
+}
+
+// pump keeps one renewal at each worker that matters.
+func (c *Cell) pump() {
+	for _, w := range c.list {
+		if c.renewDue(w) {
+			c.renew(w)
+		}
+	}
+}
+
+func (c *Cell) renewDue(w *worker) bool {
+	switch {
+	case w.renewing || w.info.Address == "":
+		return false
+	case !w.listed && len(w.runs) == 0 && w.seenEnd == w.durableEnd:
+		return false
+	case w.failedCalls > 0:
+		return c.now.Sub(w.renewFailed) >= renewPause
+	case w.seenEnd > w.durableEnd:
+		// The store does not have the newest ends yet. The worker would list
+		// them again at once.
+		return c.now.Sub(w.renewSent) >= renewPause
+	}
+	return true
+}
+
+func (c *Cell) renew(w *worker) {
+	w.renewing, w.renewSent = true, c.now
+	r := Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, AckedEnd: w.durableEnd, LeaseUntil: c.leaseUntil(w)}
+	switch {
+	case !w.fenced || w.seenEnd > w.durableEnd:
+	case len(w.runs) > 0:
+		r.Wait = busyWait
+	default:
+		r.Wait = idleWait
+	}
+	c.emit(r)
+}
+
+// leaseUntil returns the end of the lease that may be granted to a worker now,
+// in its own clock. It counts from the moment at which this instance last was
+// the owner for certain, so that a successor knows when leases have run out.
+func (c *Cell) leaseUntil(w *worker) model.WorkerTime {
+	if w.clockAt == 0 {
+		return 0
+	}
+	until := w.clock + model.WorkerTime(c.evidence.Sub(w.clockAt)+c.cfg.Lease)
+	w.leaseEnd = max(w.leaseEnd, c.evidence.Add(c.longestLease()))
+	return max(until, 0)
+}
+
+// longestLease bounds how long after its evidence a lease that an owner
+// granted can last, on any instance's clock.
+func (c *Cell) longestLease() time.Duration {
+	// The worker's clock may be slow during the lease and since the reading
+	// that the lease was computed from, which is at most as old again.
+	return time.Duration(float64(c.cfg.Lease)*(1+2*clockRate)) + leaseMargin
+}
+
+func (c *Cell) renewed(e Renewed) {
+	w := c.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	w.renewing = false
+	switch e.Verdict {
+	case Accepted:
+		c.workerAnswered(w, e)
+	case Superseded:
+		c.reload("a worker has seen a higher epoch")
+	default:
+		w.failedCalls++
+		w.renewFailed = c.now
+		if w.failedCalls == 1 {
+			c.health.Unreachable(c.now, w.info.Name)
+			c.log("worker lost", "", Fields{Worker: w.info.Name, Outcome: e.Verdict.String(), Count: len(w.runs), Age: c.now.Sub(w.answeredAt)})
+		}
+	}
+}
+
+func (c *Cell) workerAnswered(w *worker, e Renewed) {
+	if !w.fenced || w.failedCalls > 0 {
+		c.health.Reachable(c.now, w.info.Name)
+		c.log("worker reached", "", Fields{Worker: w.info.Name, Epoch: c.epoch, Count: len(e.Running), Age: c.now.Sub(w.answeredAt)})
+	}
+	w.failedCalls, w.answeredAt = 0, c.now
+	if w.boot != 0 && e.Boot != 0 && e.Boot != w.boot {
+		c.workerReborn(w)
+	}
+	if e.Boot != 0 {
+		w.boot = e.Boot
+	}
+	w.clock, w.clockAt = e.Clock, c.now
+	w.fenced = true
+	for _, end := range e.Ended {
+		if end.Seq > w.seenEnd {
+			w.seenEnd = end.Seq
+			c.runEnded(w, end)
+		}
+	}
+	c.compareRuns(w, e)
+	c.endsDirty = c.endsDirty || w.seenEnd > w.durableEnd
+}
+
+// workerReborn drops what an earlier life of a worker ran. A start that has no
+// answer yet might still reach the new life and is stopped there.
+func (c *Cell) workerReborn(w *worker) {
+	c.log("worker restarted", "", Fields{Worker: w.info.Name, Count: len(w.runs)})
+	for _, p := range sortedRuns(w) {
+		switch p.phase {
+		case phaseStarting:
+			c.stop(p, "worker restarted during the start")
+		case phasePlanned:
+			c.dropUnsent(p, "worker restarted")
+		default:
+			if w.runs[p.ref] == p {
+				c.runLost(p, "worker restarted")
+			}
+		}
+	}
+	w.fenced, w.seenEnd, w.durableEnd = false, 0, 0
+	w.leaseEnd = c.now.Add(c.longestLease())
+	c.health.ForgetWorker(w.info.Name)
+}
+
+// compareRuns brings the placements at a worker in line with the runs that it
+// lists.
+func (c *Cell) compareRuns(w *worker, e Renewed) {
+	listed := make(map[jobs.TaskRef]bool, len(e.Running))
+	for i := range e.Running {
+		r := &e.Running[i]
+		listed[r.Task] = true
+		p := w.runs[r.Task]
+		if p == nil || p.run != r.Run {
+			c.stopForeign(w, r, p)
+			continue
+		}
+		p.unlisted = 0
+		if p.phase == phaseStarting || p.phase == phaseInherited {
+			c.confirm(p)
+		}
+		p.saved = r.Checkpoint
+		if r.Percent > p.percent || p.percentAt == 0 {
+			p.percent, p.percentAt = r.Percent, c.now
+		}
+		if p.phase == phaseRunning && (p.group.job.state.Final() || p.group.tasks[p.ref.Index].state == taskDone && !p.group.step.Gang) {
+			c.stop(p, "job "+string(p.group.job.state))
+		}
+	}
+	for _, p := range sortedRuns(w) {
+		if listed[p.ref] || w.runs[p.ref] != p {
+			continue
+		}
+		switch p.phase {
+		case phaseInherited:
+			// The worker has accepted this epoch, so the start can't arrive any more.
+			c.runLost(p, "not at the worker")
+		case phaseRunning, phaseStopping:
+			// Only a list that was asked for after the confirmation tells.
+			if p.confirmedAt != 0 && e.SentAt > p.confirmedAt {
+				if p.unlisted++; p.unlisted >= 2 || p.phase == phaseStopping {
+					c.runLost(p, "not listed")
+				}
+			}
+		}
+	}
+}
+
+// stopForeign ends a run that this owner did not place. An earlier owner's
+// placement that was given up is the usual cause.
+func (c *Cell) stopForeign(w *worker, r *RunStatus, known *placement) {
+	if known != nil && known.phase != phaseInherited {
+		if r.Run > known.run {
+			c.log("unknown run listed", r.Task.Job, Fields{Task: r.Task, HasTask: true, Run: r.Run, Worker: w.info.Name})
+		}
+		return
+	}
+	c.log("foreign run stopped", r.Task.Job, Fields{Task: r.Task, HasTask: true, Run: r.Run, Worker: w.info.Name, Epoch: c.epoch})
+	c.count("foreign_runs_total", "")
+	p := &placement{ref: r.Task, worker: w, run: r.Run, phase: phaseRunning, confirmedAt: c.now, plannedAt: c.now}
+	if j := c.jobs[r.Task.Job]; j != nil {
+		if g := j.group(r.Task.Occurrence, r.Task.Step); g != nil {
+			p.need = room(g.step)
+		}
+	}
+	if known != nil {
+		return
+	}
+	w.runs[p.ref] = p
+	w.used = w.used.Add(p.need)
+	c.stop(p, "not placed by this owner")
+}
+
+// checkWorkers gives up the runs of workers whose lease is over.
+func (c *Cell) checkWorkers() {
+	for _, w := range c.list {
+		if len(w.runs) == 0 || c.now <= w.leaseEnd {
+			continue
+		}
+		for _, p := range sortedRuns(w) {
+			if w.runs[p.ref] != p || p.phase == phasePlanned {
+				continue
+			}
+			c.runLost(p, "lease over")
+		}
+	}
+	for _, name := range c.health.ProbeDue(c.now) {
+		if w := c.workers[name]; w != nil {
+			w.probe = true
+		}
+	}
+}
+
+// noteHealth counts an end for or against its worker. Ends of gangs other than
+// failures say little about one worker.
+func (c *Cell) noteHealth(w *worker, g *group, p *placement, e RunEnd) {
+	if p == nil || e.Outcome != jobs.OutcomeDone && e.Outcome != jobs.OutcomeFailed {
+		return
+	}
+	change := c.health.TaskEnded(c.now, w.info.Name, model.JobID(g.job.id), e.Outcome == jobs.OutcomeDone)
+	for _, name := range change.Quarantined {
+		c.log("worker quarantined", g.job.id, Fields{Worker: name, Reason: "failures in a row"})
+		c.count("quarantines_total", "")
+	}
+	for _, name := range change.Released {
+		c.log("worker released from quarantine", "", Fields{Worker: name})
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,6 +24,7 @@
 		Action:         group,
 		Commands: []*cli.Command{
 			standinCommand(),
+			runCommand(),
 			serveCommand(),
 			replayCommand(),
 			validateCommand(),
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sys/unix"
+
+	"github.com/gentianpick/gentianpick/internal/httpjson"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/node"
+	"github.com/gentianpick/gentianpick/platform"
+)
+
+const (
+	// gcPercent trades memory, which is priced, for little processor time.
+	gcPercent = 60
+	// memoryShare of the process's limit is where the collector works harder.
+	memoryShare = 0.6
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "run",
+		Usage: "run one instance on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "`FILE` with the platform's settings; default: as the platform says"},
+		},
+		Action: runOnPlatform,
+	}
+}
+
+func runOnPlatform(ctx context.Context, cmd *cli.Command) error {
+	path := cmd.String("settings")
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	set, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryLimit)))
+	t := node.NewTelemetry(cmd.Root().Writer, set.LogLevel, set.Name)
+	defer t.Close()
+	var storeCalls, workerCalls, eligibilityCalls httpjson.Traffic
+	t.Calls("store", &storeCalls)
+	t.Calls("worker", &workerCalls)
+	t.Calls("eligibility", &eligibilityCalls)
+	n := node.New(set, node.Deps{
+		Store:       platform.NewStore(set.StoreAddress, &storeCalls),
+		Workers:     platform.NewWorkers(&workerCalls),
+		Eligibility: platform.NewEligibility(set.EligibilityAddress, &eligibilityCalls),
+		Decode:      node.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
+		Telemetry:   t,
+		Now:         bootTime,
+	}, set.Name+"-"+string(newIncarnation()))
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go handleSignals(signals, stop, t)
+	return n.Serve(ctx, platform.NewCallers(n), stop)
+}
+
+// handleSignals closes stop at the first signal to end. The settings that an
+// instance uses do not change during its life, so a reload is only noted.
+func handleSignals(signals <-chan os.Signal, stop chan<- struct{}, t *node.Telemetry) {
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			t.Line("reload of settings", node.LineFields{Outcome: "unchanged"})
+			continue
+		}
+		close(stop)
+		return
+	}
+}
+
+// bootTime reads the clock that also counts while the VM is suspended.
+func bootTime() model.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err) // every kernel that this program runs on has the clock
+	}
+	return model.Time(ts.Nano())
+}
--- /dev/null
+++ b/internal/jobs/check.go
@@ -0,0 +1,37 @@
+package jobs
+
+import "fmt"
+
+// InvalidError reports a submission that can't be run as it stands.
+type InvalidError struct{ Reason string }
+
+func (e *InvalidError) Error() string { return "invalid job: " + e.Reason }
+
+// Check returns an InvalidError if a job breaks a rule of the model.
+func (j *Job) Check() error {
+	if len(j.Payload) > MaxPayload {
+		return &InvalidError{Reason: fmt.Sprintf("payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayload)}
+	}
+	if len(j.Steps) == 0 {
+		return &InvalidError{Reason: "no steps"}
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		if s.Tasks < 1 || s.Tasks > MaxTasks {
+			return &InvalidError{Reason: fmt.Sprintf("step %d has %d tasks", i, s.Tasks)}
+		}
+		tasks += s.Tasks
+		if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
+			return &InvalidError{Reason: fmt.Sprintf("step %d needs a negative amount", i)}
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return &InvalidError{Reason: fmt.Sprintf("step %d is after step %d, which is not an earlier one", i, a)}
+			}
+		}
+	}
+	if j.Schedule.Occurrences < 0 || tasks*j.Schedule.Runs() > MaxTasks {
+		return &InvalidError{Reason: fmt.Sprintf("more than %d tasks", MaxTasks)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/effects.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/cell"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/link"
+	"github.com/gentianpick/gentianpick/internal/store"
+)
+
+// perform carries effects out. Calls run on their own, and their answers come
+// back as events.
+func (n *Node) perform(ctx context.Context, l *life, effects []cell.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case cell.Log:
+			n.deps.Telemetry.Decision(e)
+		case cell.Observe:
+			n.deps.Telemetry.Observe(e.Name, e.Label, e.Value)
+		case cell.Count:
+			n.deps.Telemetry.Count(e.Name, e.Label)
+		case cell.Append:
+			go n.append(l, e)
+		case cell.TryClaim:
+			go n.tryClaim(l, e)
+		case cell.Renew:
+			go func() {
+				sent := n.deps.Now()
+				r := n.deps.Workers.Renew(l.ctx, e)
+				r.SentAt = sent
+				n.send(l, r)
+			}()
+		case cell.Start:
+			go func() {
+				v := n.deps.Workers.Start(l.ctx, e)
+				n.send(l, cell.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v})
+			}()
+		case cell.Stop:
+			go func() {
+				v := n.deps.Workers.Stop(l.ctx, e)
+				n.send(l, cell.StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v})
+			}()
+		case cell.Ask:
+			go n.ask(l, e)
+		case cell.Forget:
+			go n.forget(l, e.ID)
+		case cell.RoleChanged:
+			l.owner.Store(e.Owner)
+			if e.Owner {
+				n.client.Target("")
+			}
+			n.deps.Telemetry.Owner(e.Owner, e.Epoch)
+		case cell.Reload:
+			n.deps.Telemetry.Line("reload", LineFields{Reason: e.Reason})
+			n.restart(ctx)
+			return
+		}
+	}
+}
+
+const (
+	// maxClaimSeq bounds the sequence number of a claim, which the appends of the
+	// epoch go on from. It leaves room below the largest number that survives
+	// JSON numbers.
+	maxClaimSeq = 1 << 48
+	// claimTimeout bounds a claim with all its attempts.
+	claimTimeout = 4 * time.Second
+)
+
+// append appends an owner's entries until the store has them or refuses them
+// for good. The store's clock of ownership is the time at which the first
+// attempt was sent.
+func (n *Node) append(l *life, a cell.Append) {
+	records := make([]store.Record, len(a.Entries))
+	for i, e := range a.Entries {
+		records[i] = store.Record{Key: e.Key, Value: e.Value}
+	}
+	f := &store.Fence{Writer: cellName, Epoch: a.Epoch, Seq: l.claimSeq.Load() + int64(a.Commit), At: -1}
+	sent := n.deps.Now()
+	if _, err := n.repeat(l.ctx, store.Progress, records, f, forever); err != nil && l.ctx.Err() == nil {
+		// Fenced, or nothing more can be appended in sequence.
+		n.deps.Telemetry.Line("append refused", LineFields{Subject: store.Progress.String(), Reason: err.Error()})
+		n.send(l, cell.Appended{Commit: a.Commit, SentAt: sent, Fenced: true})
+		return
+	}
+	n.send(l, cell.Appended{Commit: a.Commit, SentAt: sent})
+}
+
+// tryClaim appends a claim, and reads the stream if the answer is lost.
+func (n *Node) tryClaim(l *life, t cell.TryClaim) {
+	ctx, cancel := context.WithTimeout(l.ctx, claimTimeout)
+	defer cancel()
+	// Two instances may claim the same epoch. If their sequence numbers were
+	// equal too, the store would take the second claim for a repetition of the
+	// first one and accept it.
+	seq := rand.Int64N(maxClaimSeq)
+	l.claimSeq.Store(seq)
+	f := &store.Fence{Writer: cellName, Epoch: t.Claim.Epoch, Seq: seq, At: t.At}
+	record := []store.Record{{Key: jobs.KeyOwner, Value: jobs.Encode(t.Claim)}}
+	won := func(ok bool) {
+		n.send(l, cell.Claimed{Epoch: t.Claim.Epoch, SentAt: n.deps.Now(), Won: ok})
+	}
+	for ctx.Err() == nil {
+		actx, done := context.WithTimeout(ctx, hedgeAfter*2)
+		_, err := n.deps.Store.Append(actx, store.Progress, record, f)
+		done()
+		switch kind := store.KindOf(err); {
+		case err == nil:
+			won(true)
+			return
+		case kind == store.Fenced || kind == store.Moved || kind == store.OutOfSequence || kind == store.InDoubt:
+			// An earlier attempt may be what moved the end.
+			if own, known := n.claimLanded(ctx, t); known {
+				won(own)
+				return
+			}
+		}
+		sleep(ctx, appendRetry)
+	}
+	won(false)
+}
+
+// claimLanded reports whether a claim is the first record after the end that
+// it was conditional on, if there is one.
+func (n *Node) claimLanded(ctx context.Context, t cell.TryClaim) (own, known bool) {
+	b, err := n.deps.Store.Read(ctx, store.Progress, t.At, 0)
+	if err != nil {
+		return false, store.KindOf(err) == store.Expired
+	}
+	if len(b.Records) == 0 {
+		return false, false
+	}
+	r := b.Records[0]
+	if r.Key != jobs.KeyOwner {
+		return false, true
+	}
+	claim, err := jobs.Decode[jobs.Claim](r.Key, r.Value)
+	return err == nil && claim.Owner == t.Claim.Owner && claim.Epoch == t.Claim.Epoch, true
+}
+
+// askMargin is how much longer than expected an eligibility call may take: calls
+// of one instance are answered in turn, and up to three may be in flight.
+const askMargin = 600 * time.Millisecond
+
+// ask makes an eligibility call here or at another instance.
+func (n *Node) ask(l *life, a cell.Ask) {
+	ctx, cancel := context.WithTimeout(l.ctx, 2*a.Cost+askMargin)
+	defer cancel()
+	r := link.AskRequest{Job: a.Job, Step: a.Step, Occur: a.Occur, Workers: a.Workers}
+	var reply link.AskReply
+	var err error
+	if a.Advisor == n.self {
+		reply = peers{n}.Ask(ctx, r)
+	} else {
+		n.mu.Lock()
+		peer := n.peers[a.Advisor]
+		n.mu.Unlock()
+		if peer == nil {
+			err = link.ErrNoLink
+		} else {
+			reply, err = peer.Ask(ctx, r)
+		}
+	}
+	if err != nil {
+		n.deps.Telemetry.Line("eligibility call lost", LineFields{Subject: string(a.Job), Reason: err.Error()})
+	}
+	n.send(l, cell.EligibilityAnswered{
+		Advisor: a.Advisor, Job: a.Job, Step: a.Step, Occur: a.Occur, Asked: a.Workers,
+		Eligible: reply.Eligible, ValidFor: time.Duration(reply.ValidMs) * time.Millisecond, Failed: err != nil || reply.Failed,
+	})
+}
+
+// forget removes the entries of a finished job. What fails is tried again by
+// the next owner that loads the job.
+func (n *Node) forget(l *life, id jobs.ID) {
+	ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
+	defer cancel()
+	for _, r := range []struct {
+		s   store.Stream
+		key string
+	}{{store.Submissions, jobs.CancelKey(id)}, {store.Submissions, jobs.JobKey(id)}} {
+		if _, err := n.deps.Store.Append(ctx, r.s, []store.Record{{Key: r.key}}, nil); err != nil {
+			n.deps.Telemetry.Line("entry not removed", LineFields{Subject: r.key, Reason: err.Error()})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,278 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/cell"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/store"
+)
+
+// Waits and pauses of reads. Each call is priced and counts against the
+// store's rate, so only the owner reads without a pause.
+const (
+	// configWait is a long poll, so a new configuration arrives at once. It is
+	// short enough that a silent connection is found well within the bound for
+	// configurations to be in force.
+	configWait   = 500 * time.Millisecond
+	workersWait  = 1000 * time.Millisecond
+	workersPause = 100 * time.Millisecond
+	// standbyPause is how far behind an instance that is not the owner may be.
+	standbyPause = 250 * time.Millisecond
+	// ownerWait is the owner's long poll for submissions.
+	ownerWait = 500 * time.Millisecond
+	// ownerPause lets submissions that come together be read by one call.
+	ownerPause = 3 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a failed read.
+	firstRetry = 40 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
+)
+
+// follower reads one stream from its newest records on.
+type follower struct {
+	n      *Node
+	stream store.Stream
+	wait   time.Duration
+	pause  time.Duration
+	take   func(r store.Record)
+	// after is called after each read, with the time at which it was sent.
+	after  func(b store.Batch, sentAt model.Time)
+	owned  *atomic.Bool // if set and true, the stream is read as the owner does
+	paused *atomic.Bool // if set and true, the stream is not read
+
+	next   int64
+	at     atomic.Int64     // the same as next, for other goroutines
+	loaded map[string]int64 // offsets of keys that the load has returned
+	failed int
+}
+
+func newFollower(n *Node, s store.Stream, wait, pause time.Duration, take func(store.Record)) *follower {
+	return &follower{n: n, stream: s, wait: wait, pause: pause, take: take}
+}
+
+func (f *follower) run(ctx context.Context) {
+	if f.load(ctx) {
+		f.follow(ctx)
+	}
+}
+
+// load reads the newest records of all keys. It returns false if ctx ended.
+func (f *follower) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if f.tryLoad(ctx) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *follower) tryLoad(ctx context.Context) bool {
+	after, end := "", int64(-1)
+	f.loaded = map[string]int64{}
+	for {
+		sent := f.n.deps.Now()
+		p, err := f.n.deps.Store.Newest(ctx, f.stream, after)
+		if err != nil {
+			f.fail(ctx, err)
+			return false
+		}
+		f.succeed(sent)
+		if end < 0 {
+			end = p.End // later pages may hold newer records, which are read again
+		}
+		for _, r := range p.Records {
+			f.loaded[r.Key] = r.Offset
+			f.take(r)
+			after = r.Key
+		}
+		if !p.More || len(p.Records) == 0 {
+			break
+		}
+	}
+	f.moveTo(end)
+	return true
+}
+
+func (f *follower) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.paused != nil && f.paused.Load() {
+			sleep(ctx, standbyPause)
+			continue
+		}
+		wait, pause := f.wait, f.pause
+		if f.owned != nil && f.owned.Load() {
+			wait, pause = ownerWait, ownerPause
+		}
+		if f.read(ctx, wait) {
+			sleep(ctx, pause)
+		}
+	}
+}
+
+// read takes what is new. It returns false after a failure, for which it has
+// paused already.
+func (f *follower) read(ctx context.Context, wait time.Duration) bool {
+	sent := f.n.deps.Now()
+	b, err := f.n.deps.Store.Read(ctx, f.stream, f.next, wait)
+	if err != nil {
+		if store.KindOf(err) == store.Expired {
+			f.n.deps.Telemetry.Line("stream history gone", LineFields{Subject: f.stream.String(), Count: f.next})
+			f.load(ctx)
+			return true
+		}
+		f.fail(ctx, err)
+		return false
+	}
+	f.succeed(sent)
+	for _, r := range b.Records {
+		if at, ok := f.loaded[r.Key]; ok && at >= r.Offset {
+			continue
+		}
+		f.take(r)
+	}
+	f.moveTo(b.Next)
+	if len(f.loaded) > 0 && f.next >= b.End {
+		f.loaded = nil
+	}
+	if f.after != nil && b.Next >= b.End {
+		f.after(b, sent)
+	}
+	return true
+}
+
+func (f *follower) moveTo(offset int64) {
+	f.next = offset
+	f.at.Store(offset)
+}
+
+func (f *follower) succeed(sent model.Time) {
+	if f.failed > 0 {
+		f.n.deps.Telemetry.Line("stream regained", LineFields{Subject: f.stream.String(), Count: int64(f.failed)})
+	}
+	f.failed = 0
+	f.n.storeOK.Store(int64(sent))
+}
+
+func (f *follower) fail(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.failed == 0 {
+		f.n.deps.Telemetry.Line("stream lost", LineFields{Subject: f.stream.String(), Reason: err.Error()})
+	}
+	f.failed++
+	sleep(ctx, min(firstRetry<<min(f.failed-1, 5), lastRetry))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) takeConfig(r store.Record) {
+	c, err := n.deps.Decode.Config(r.Key, r.Value)
+	if err != nil {
+		n.deps.Telemetry.Line("configuration unreadable", LineFields{Reason: err.Error(), Count: r.Offset})
+		return
+	}
+	if c == nil {
+		return
+	}
+	if old := n.config.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	n.config.Store(c)
+	n.deps.Telemetry.Line("configuration in force", LineFields{Count: c.Version})
+	n.events <- []cell.Event{cell.ConfigChanged{Config: c}}
+}
+
+func (n *Node) takeWorker(r store.Record) {
+	name := model.WorkerName(r.Key)
+	if len(r.Value) == 0 {
+		n.dropWorker(name)
+		return
+	}
+	info, err := n.deps.Decode.Worker(r.Key, r.Value)
+	if err != nil {
+		n.deps.Telemetry.Line("worker entry unreadable", LineFields{Subject: r.Key, Reason: err.Error()})
+		n.dropWorker(name)
+		return
+	}
+	n.mu.Lock()
+	n.workers[name] = info
+	n.mu.Unlock()
+	n.events <- []cell.Event{cell.WorkerListed{Info: info}}
+}
+
+func (n *Node) dropWorker(name model.WorkerName) {
+	n.mu.Lock()
+	_, known := n.workers[name]
+	delete(n.workers, name)
+	n.mu.Unlock()
+	if known {
+		n.events <- []cell.Event{cell.WorkerUnlisted{Name: name}}
+	}
+}
+
+func (n *Node) takeSubmission(l *life) func(store.Record) {
+	return func(r store.Record) {
+		kind, id := jobs.ParseKey(r.Key)
+		switch {
+		case kind == jobs.KindJob && len(r.Value) == 0:
+			n.send(l, cell.JobDropped{ID: id})
+		case kind == jobs.KindJob:
+			j, err := jobs.Decode[jobs.Job](r.Key, r.Value)
+			if err != nil {
+				n.deps.Telemetry.Line("submission unreadable", LineFields{Subject: r.Key, Reason: err.Error()})
+				return
+			}
+			n.send(l, cell.JobAdded{Job: j})
+		case kind == jobs.KindCancel && len(r.Value) > 0:
+			n.send(l, cell.JobCancelled{ID: id})
+		}
+	}
+}
+
+func (n *Node) takeProgress(l *life) func(store.Record) {
+	return func(r store.Record) {
+		if len(r.Value) == 0 {
+			return
+		}
+		switch kind, id := jobs.ParseKey(r.Key); kind {
+		case jobs.KindOwner:
+			claim, err := jobs.Decode[jobs.Claim](r.Key, r.Value)
+			if err != nil {
+				n.deps.Telemetry.Line("claim unreadable", LineFields{Reason: err.Error()})
+				return
+			}
+			n.send(l, cell.ClaimRead{Claim: claim})
+			n.follow(claim)
+		case jobs.KindProgress:
+			p, err := jobs.Decode[jobs.Progress](r.Key, r.Value)
+			if err != nil {
+				n.deps.Telemetry.Line("progress unreadable", LineFields{Subject: r.Key, Reason: err.Error()})
+				return
+			}
+			n.send(l, cell.ProgressRead{ID: id, Progress: p})
+		}
+	}
+}
+
+// follow connects to the owner of a claim.
+func (n *Node) follow(c jobs.Claim) {
+	if c.Owner == n.self || c.Released {
+		n.client.Target("")
+		return
+	}
+	n.client.Target(c.Address)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,251 @@
+// Package node runs one instance: it follows the store, drives the cell's
+// reducer, carries its effects out, and serves callers. It decides only how
+// calls are repeated.
+package node
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/cell"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/link"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/store"
+)
+
+// Workers makes calls to workers.
+type Workers interface {
+	Start(ctx context.Context, s cell.Start) cell.Verdict
+	Stop(ctx context.Context, s cell.Stop) cell.Verdict
+	Renew(ctx context.Context, r cell.Renew) cell.Renewed
+}
+
+// Eligibility asks which workers may run a step.
+type Eligibility interface {
+	Ask(ctx context.Context, r link.AskRequest) (link.AskReply, error)
+}
+
+// Decoders read the records that others write into the store.
+type Decoders struct {
+	// Config returns nil for a record that holds no configuration.
+	Config func(key string, value []byte) (*jobs.Config, error)
+	Worker func(key string, value []byte) (jobs.WorkerInfo, error)
+}
+
+// Deps are what a node works with.
+type Deps struct {
+	Store       store.Store
+	Workers     Workers
+	Eligibility Eligibility
+	Decode      Decoders
+	Telemetry   *Telemetry
+	// Now reads a clock that includes times of suspension.
+	Now func() model.Time
+}
+
+const (
+	// eventQueue bounds the events that wait for the reducer.
+	eventQueue = 8192
+	// cellName is the writer of the progress stream and the name of the cell.
+	cellName = "cell-0"
+	// retentionMargin keeps finished jobs longer than callers may ask for them,
+	// since the clocks of VMs differ.
+	retentionMargin = 60 * time.Second
+)
+
+// Node is one running instance.
+type Node struct {
+	set  Settings
+	deps Deps
+	self string // incarnation
+
+	events chan []cell.Event
+	client *link.Client
+
+	mu      sync.Mutex // guards cell, life, workers and peers
+	cell    *cell.Cell
+	life    *life
+	workers map[model.WorkerName]jobs.WorkerInfo
+	peers   map[string]*link.Peer
+
+	config    atomic.Pointer[jobs.Config]
+	following [4]*follower // by stream
+	submits   *submitter
+
+	draining atomic.Bool
+	storeOK  atomic.Int64 // model.Time of the newest answer of the store
+}
+
+// life is the time from one load of the cell's streams to the next.
+type life struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	owner  atomic.Bool
+	loaded atomic.Bool
+	// claimSeq is the sequence number of the instance's own claim.
+	claimSeq atomic.Int64
+}
+
+var _ Gateway = (*Node)(nil)
+
+// New returns a node that does not run yet.
+func New(set Settings, deps Deps, incarnation string) *Node {
+	n := &Node{
+		set: set, deps: deps, self: incarnation,
+		events:  make(chan []cell.Event, eventQueue),
+		workers: map[model.WorkerName]jobs.WorkerInfo{},
+		peers:   map[string]*link.Peer{},
+	}
+	n.client = link.NewClient(incarnation, peers{n}, n.linkChanged)
+	n.submits = newSubmitter(n)
+	return n
+}
+
+func (n *Node) newCell() *cell.Cell {
+	h := fnv.New32a()
+	fmt.Fprint(h, n.self)
+	return cell.New(cell.Config{
+		Name: cellName, Self: n.self, Address: n.set.LinkListen, DataCentre: n.set.DataCentre,
+		Lease: n.set.Lease, Spread: float64(h.Sum32()%1000) / 1000, Retention: n.set.Retention + retentionMargin,
+	})
+}
+
+// Run runs the instance until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.following[store.Config] = newFollower(n, store.Config, configWait, 0, n.takeConfig)
+	n.following[store.Workers] = newFollower(n, store.Workers, workersWait, workersPause, n.takeWorker)
+	go n.following[store.Config].run(ctx)
+	go n.following[store.Workers].run(ctx)
+	go n.client.Run(ctx)
+	go n.tick(ctx)
+	n.restart(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case batch := <-n.events:
+			n.step(ctx, n.gather(batch))
+		}
+	}
+}
+
+// gather adds the events that wait already.
+func (n *Node) gather(batch []cell.Event) []cell.Event {
+	for {
+		select {
+		case more := <-n.events:
+			batch = append(batch, more...)
+		default:
+			return batch
+		}
+	}
+}
+
+func (n *Node) step(ctx context.Context, batch []cell.Event) {
+	n.mu.Lock()
+	effects := n.cell.Step(n.deps.Now(), batch...)
+	life := n.life
+	n.mu.Unlock()
+	n.perform(ctx, life, effects)
+}
+
+// send queues events for the reducer. Events of an earlier life are dropped.
+func (n *Node) send(l *life, events ...cell.Event) {
+	if l != nil && l.ctx.Err() != nil {
+		return
+	}
+	n.events <- events
+}
+
+// restart builds the cell anew from the store.
+func (n *Node) restart(ctx context.Context) {
+	n.mu.Lock()
+	if n.life != nil {
+		n.life.cancel()
+	}
+	l := &life{}
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	n.life, n.cell = l, n.newCell()
+	var first []cell.Event
+	if c := n.config.Load(); c != nil {
+		first = append(first, cell.ConfigChanged{Config: c})
+	}
+	for _, w := range n.workers {
+		first = append(first, cell.WorkerListed{Info: w})
+	}
+	first = append(first, cell.AdvisorChanged{Name: n.self, Up: true})
+	for name := range n.peers {
+		first = append(first, cell.AdvisorChanged{Name: name, Up: true})
+	}
+	if n.draining.Load() {
+		first = append(first, cell.DrainStarted{})
+	}
+	n.mu.Unlock()
+	n.step(ctx, first)
+	subs := newFollower(n, store.Submissions, 0, standbyPause, n.takeSubmission(l))
+	subs.owned = &l.owner
+	progress := newFollower(n, store.Progress, 0, standbyPause, n.takeProgress(l))
+	n.mu.Lock()
+	n.following[store.Submissions], n.following[store.Progress] = subs, progress
+	n.mu.Unlock()
+	progress.after = func(b store.Batch, sentAt model.Time) {
+		if !l.owner.Load() {
+			n.send(l, cell.StreamRead{End: b.Next, SentAt: sentAt, Records: len(b.Records)})
+		}
+	}
+	progress.paused = &l.owner
+	go func() {
+		// Submissions first: progress refers to them.
+		if subs.load(l.ctx) && progress.load(l.ctx) {
+			l.loaded.Store(true)
+			n.deps.Telemetry.Line("cell loaded", LineFields{Count: int64(subs.next)})
+			go subs.follow(l.ctx)
+			progress.follow(l.ctx)
+		}
+	}()
+}
+
+func (n *Node) tick(ctx context.Context) {
+	t := time.NewTicker(cell.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			select {
+			case n.events <- []cell.Event{cell.Tick{UnixMs: time.Now().UnixMilli()}}:
+			default: // the reducer is behind and will learn the time later
+			}
+		}
+	}
+}
+
+// Drain makes the instance give up what it owns and tell the balancer.
+func (n *Node) Drain() {
+	if n.draining.CompareAndSwap(false, true) {
+		n.deps.Telemetry.Line("drain", LineFields{Reason: "signal"})
+		n.events <- []cell.Event{cell.DrainStarted{}}
+	}
+}
+
+func (n *Node) linkChanged(up bool, cause error) {
+	f := LineFields{Outcome: "regained"}
+	if !up {
+		f = LineFields{Outcome: "lost", Reason: text(cause)}
+	}
+	n.deps.Telemetry.Line("link to the owner", f)
+	n.events <- []cell.Event{cell.LinkChanged{Up: up}}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/cell"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/link"
+	"github.com/gentianpick/gentianpick/internal/store"
+)
+
+const (
+	// stateTimeout bounds the question to the owner. An instance's own view is
+	// at most a fraction of a second older.
+	stateTimeout = 250 * time.Millisecond
+	// storeSilence is how long the store may be out of reach before the instance
+	// asks the balancer for no more connections. Submissions are then stored
+	// through the owner.
+	storeSilence = 1500 * time.Millisecond
+)
+
+// Config implements Gateway.
+func (n *Node) Config() *jobs.Config { return n.config.Load() }
+
+// Ready implements Gateway.
+func (n *Node) Ready() (bool, string) {
+	n.mu.Lock()
+	l := n.life
+	n.mu.Unlock()
+	switch {
+	case n.draining.Load():
+		return false, "draining"
+	case n.config.Load() == nil:
+		return false, "no configuration"
+	case l == nil || !l.loaded.Load():
+		return false, "cell not loaded"
+	case time.Duration(int64(n.deps.Now())-n.storeOK.Load()) > storeSilence:
+		return false, "store out of reach"
+	}
+	return true, ""
+}
+
+// Submit implements Gateway.
+func (n *Node) Submit(ctx context.Context, j jobs.Job) Outcome {
+	start := n.deps.Now()
+	if _, known := n.view(j.ID); known {
+		n.deps.Telemetry.Request("submit", j.ID, j.Queue, 0, Done.String(), "known")
+		return Outcome{Kind: Done}
+	}
+	j.SubmittedMs = time.Now().UnixMilli()
+	o := n.submits.put(ctx, cell.Entry{Key: jobs.JobKey(j.ID), Value: jobs.Encode(j)})
+	took := n.deps.Now().Sub(start)
+	n.deps.Telemetry.Observe("submit_seconds", j.Queue, took)
+	n.deps.Telemetry.Request("submit", j.ID, j.Queue, took, o.Kind.String(), string(o.Refusal.Reason))
+	return o
+}
+
+// Cancel implements Gateway.
+func (n *Node) Cancel(ctx context.Context, queue string, id jobs.ID) Outcome {
+	start := n.deps.Now()
+	v, o := n.lookup(ctx, id)
+	switch {
+	case o.Kind != Done:
+	case v.Queue != queue:
+		o.Kind = NotFound
+	case !v.State.Final():
+		o = n.submits.put(ctx, cell.Entry{Key: jobs.CancelKey(id), Value: []byte("{}")})
+	}
+	n.deps.Telemetry.Request("cancel", id, queue, n.deps.Now().Sub(start), o.Kind.String(), string(o.Refusal.Reason))
+	return o
+}
+
+// State implements Gateway.
+func (n *Node) State(ctx context.Context, queue string, id jobs.ID) (jobs.State, Outcome) {
+	v, known := n.view(id)
+	if known && v.State.Final() {
+		return v.State, n.shown(id, queue, v, "own view")
+	}
+	if reply, err := n.askOwner(ctx, id); err == nil && reply.Owner && reply.Known {
+		v.State = reply.State
+		if !known {
+			v.Queue = queue
+		}
+		return v.State, n.shown(id, queue, v, "owner")
+	}
+	if !known {
+		var o Outcome
+		if v, o = n.lookup(ctx, id); o.Kind != Done {
+			n.deps.Telemetry.Request("state", id, queue, 0, o.Kind.String(), string(o.Refusal.Reason))
+			return "", o
+		}
+	}
+	return v.State, n.shown(id, queue, v, "own view")
+}
+
+func (n *Node) shown(id jobs.ID, queue string, v cell.View, source string) Outcome {
+	o := Outcome{Kind: Done}
+	if v.Queue != queue {
+		o.Kind = NotFound
+	}
+	n.deps.Telemetry.Request("state", id, queue, 0, string(v.State), source)
+	return o
+}
+
+func (n *Node) askOwner(ctx context.Context, id jobs.ID) (link.StateReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	return n.client.State(ctx, link.StateRequest{ID: id})
+}
+
+// view returns what this instance knows of a job.
+func (n *Node) view(id jobs.ID) (cell.View, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cell.Job(id)
+}
+
+// lookup returns what the store knows of a job: if this instance does not know
+// it, the stream of submissions is read to its end first. The outcome is
+// Refused if the store can't be read.
+func (n *Node) lookup(ctx context.Context, id jobs.ID) (cell.View, Outcome) {
+	if v, known := n.view(id); known {
+		return v, Outcome{Kind: Done}
+	}
+	unknown := Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: storeRetryAfter}}
+	n.mu.Lock()
+	l, subs := n.life, n.following[store.Submissions]
+	n.mu.Unlock()
+	if !l.loaded.Load() {
+		return cell.View{}, unknown
+	}
+	take := n.takeSubmission(l)
+	for from := subs.at.Load(); ; {
+		b, err := n.deps.Store.Read(ctx, store.Submissions, from, 0)
+		if err != nil {
+			n.deps.Telemetry.Line("lookup failed", LineFields{Subject: string(id), Reason: err.Error()})
+			return cell.View{}, unknown
+		}
+		for _, r := range b.Records {
+			if _, of := jobs.ParseKey(r.Key); of == id {
+				take(r)
+			}
+		}
+		if from = b.Next; from >= b.End {
+			break
+		}
+	}
+	n.settleEvents(ctx)
+	if v, known := n.view(id); known {
+		return v, Outcome{Kind: Done}
+	}
+	return cell.View{}, Outcome{Kind: NotFound}
+}
+
+// settleEvents waits until the reducer has taken every event queued so far.
+func (n *Node) settleEvents(ctx context.Context) {
+	for range 20 {
+		if len(n.events) == 0 || ctx.Err() != nil {
+			break
+		}
+		sleep(ctx, time.Millisecond)
+	}
+	sleep(ctx, 2*time.Millisecond)
+}
+
+// Waiting implements Gateway.
+func (n *Node) Waiting(queue string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cell.Waiting(queue)
+}
+
+// peers serves other instances.
+type peers struct{ n *Node }
+
+var _ link.Handler = peers{}
+
+// State implements link.Handler.
+func (p peers) State(_ context.Context, r link.StateRequest) link.StateReply {
+	n := p.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	v, known := n.cell.Job(r.ID)
+	return link.StateReply{Known: known, Owner: n.cell.IsOwner(), State: v.State}
+}
+
+// Submit implements link.Handler. It never forwards again.
+func (p peers) Submit(ctx context.Context, r link.SubmitRequest) link.SubmitReply {
+	inDoubt, err := p.n.submits.store(ctx, r.Entries)
+	return link.SubmitReply{Stored: err == nil, InDoubt: inDoubt}
+}
+
+// Ask implements link.Handler.
+func (p peers) Ask(ctx context.Context, r link.AskRequest) link.AskReply {
+	reply, err := p.n.deps.Eligibility.Ask(ctx, r)
+	if err != nil {
+		p.n.deps.Telemetry.Line("eligibility service", LineFields{Subject: string(r.Job), Reason: err.Error(), Outcome: "failed"})
+		return link.AskReply{Failed: true}
+	}
+	return reply
+}
+
+// Connected implements link.Handler.
+func (p peers) Connected(name string, peer *link.Peer) {
+	n := p.n
+	n.mu.Lock()
+	n.peers[name] = peer
+	n.mu.Unlock()
+	n.deps.Telemetry.Line("instance connected", LineFields{Subject: name})
+	n.events <- []cell.Event{cell.AdvisorChanged{Name: name, Up: true}}
+}
+
+// Disconnected implements link.Handler.
+func (p peers) Disconnected(name string, peer *link.Peer) {
+	n := p.n
+	n.mu.Lock()
+	current := n.peers[name] == peer
+	if current {
+		delete(n.peers, name)
+	}
+	n.mu.Unlock()
+	if current {
+		n.deps.Telemetry.Line("instance disconnected", LineFields{Subject: name})
+		n.events <- []cell.Event{cell.AdvisorChanged{Name: name, Up: false}}
+	}
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Settings are what one instance is told when it starts.
+type Settings struct {
+	Name       string // of the VM
+	DataCentre model.DataCentre
+	// CallerListen, ReadyListen, LinkListen and MetricsListen are IP:port. The
+	// first takes callers' requests, the second the balancer's checks, the third
+	// other instances' connections.
+	CallerListen  string
+	ReadyListen   string
+	LinkListen    string
+	MetricsListen string // empty: none
+
+	StoreAddress       string // IP:port of the platform's store
+	EligibilityAddress string // IP:port of the eligibility service; empty: none
+
+	Lease       time.Duration // longest lease that workers grant
+	Retention   time.Duration // how long a finished job's state is kept for callers
+	Grace       time.Duration // from SIGTERM to SIGKILL
+	ConfigBound time.Duration // within which a new configuration must be in force
+	MemoryLimit int64         // bytes of the process
+	LogLevel    string
+}
+
+// InvalidSettingError reports a setting that can't be used.
+type InvalidSettingError struct {
+	Name   string
+	Reason string
+}
+
+func (e *InvalidSettingError) Error() string { return "setting " + e.Name + ": " + e.Reason }
--- /dev/null
+++ b/internal/node/telemetry.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/gentianpick/gentianpick/internal/cell"
+	"github.com/gentianpick/gentianpick/internal/core"
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/logbuf"
+	"github.com/gentianpick/gentianpick/internal/telemetry"
+)
+
+// Telemetry writes an instance's log lines and counts. It never blocks.
+type Telemetry struct {
+	*telemetry.Telemetry
+	buf *logbuf.Writer
+	log log.Logger
+}
+
+// NewTelemetry returns a telemetry that writes lines as JSON to w.
+func NewTelemetry(w io.Writer, level, instance string) *Telemetry {
+	if level == "" {
+		level = "info"
+	}
+	buf := logbuf.New(w)
+	return &Telemetry{
+		Telemetry: telemetry.New(buf, level),
+		buf:       buf,
+		log: log.Logger{
+			Level: log.ParseLevel(level), Writer: log.IOWriter{Writer: buf}, TimeFormat: log.TimeFormatUnixMs,
+			Context: log.NewContext(nil).Str("instance", instance).Value(),
+		},
+	}
+}
+
+// Close writes the lines that are buffered.
+func (t *Telemetry) Close() { t.buf.Close() }
+
+// Dropped returns how many lines were lost for want of room.
+func (t *Telemetry) Dropped() uint64 { return t.buf.Dropped() }
+
+// LineFields are the fields of a line about the instance or what it depends on.
+type LineFields struct {
+	Subject string
+	Reason  string
+	Outcome string
+	Count   int64
+}
+
+// Line writes one line about the instance or what it depends on.
+func (t *Telemetry) Line(what string, f LineFields) {
+	e := t.log.Info()
+	if f.Subject != "" {
+		e = e.Str("subject", f.Subject)
+	}
+	if f.Reason != "" {
+		e = e.Str("reason", f.Reason)
+	}
+	if f.Outcome != "" {
+		e = e.Str("outcome", f.Outcome)
+	}
+	if f.Count != 0 {
+		e = e.Int64("count", f.Count)
+	}
+	e.Msg(what)
+}
+
+// Request writes one line about a caller's request.
+func (t *Telemetry) Request(what string, id jobs.ID, queue string, took time.Duration, outcome, reason string) {
+	e := t.log.Info().Str("job", string(id)).Str("queue", queue).Str("outcome", outcome)
+	if took != 0 {
+		e = e.Float64("took_ms", millis(took))
+	}
+	if reason != "" {
+		e = e.Str("reason", reason)
+	}
+	e.Msg(what)
+}
+
+// Decision writes one line about a decision of the reducer.
+func (t *Telemetry) Decision(l cell.Log) {
+	e := t.log.Info()
+	if l.Job != "" {
+		e = e.Str("job", string(l.Job))
+	}
+	if l.HasTask {
+		e = e.Str("task", fmt.Sprintf("%d.%d.%d", l.Task.Occurrence, l.Task.Step, l.Task.Index)).Int("run", l.Run)
+	}
+	if l.Worker != "" {
+		e = e.Str("worker", string(l.Worker))
+	}
+	if l.Epoch != 0 {
+		e = e.Int64("epoch", l.Epoch)
+	}
+	if l.Age != 0 {
+		e = e.Float64("age_ms", millis(l.Age))
+	}
+	if l.Count != 0 {
+		e = e.Int("count", l.Count)
+	}
+	if l.Reason != "" {
+		e = e.Str("reason", l.Reason)
+	}
+	if l.Outcome != "" {
+		e = e.Str("outcome", l.Outcome)
+	}
+	e.Msg(l.What)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// Count adds one to a counter.
+func (t *Telemetry) Count(name, label string) {
+	t.Telemetry.Count(core.Count{Name: name, Label: label, N: 1})
+}
+
+// Observe adds a value to a histogram.
+func (t *Telemetry) Observe(name, label string, d time.Duration) {
+	t.Telemetry.Observe(core.Observe{Name: name, Label: label, Seconds: d.Seconds()})
+}
+
+// Owner writes a line when the instance becomes or stops being the owner.
+func (t *Telemetry) Owner(owner bool, epoch int64) {
+	outcome := "follower"
+	if owner {
+		outcome = "owner"
+	}
+	t.Line("role", LineFields{Outcome: outcome, Count: epoch})
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,124 @@
+// Package store is what the product needs of the platform's store: streams of
+// keyed records, of which the newest of each key is kept.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Stream names one stream.
+type Stream int
+
+// The streams.
+const (
+	Config      Stream = iota // the operator's configuration; read only
+	Workers                   // the directory of workers; read only
+	Submissions               // of one cell: jobs and cancellations
+	Progress                  // of one cell: what its owner has decided
+)
+
+var streamNames = [...]string{"config", "workers", "submissions", "progress"}
+
+// String implements fmt.Stringer.
+func (s Stream) String() string { return streamNames[s] }
+
+// Record is one keyed record. An empty value removes the key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64 // in the stream; not used by appends
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	Records []Record
+	Next    int64 // offset to go on from
+	End     int64 // of the stream when it was read
+}
+
+// Page is one page of the newest records of all keys. Pages of one listing are
+// not a snapshot.
+type Page struct {
+	Records []Record
+	More    bool
+	End     int64 // of the stream when the page was read
+}
+
+// Fence lets the store refuse appends of writers that were replaced.
+type Fence struct {
+	Writer string
+	Epoch  int64 // appends with a lower epoch than the highest seen fail
+	Seq    int64 // counts the appends of an epoch; a repeat is not done twice
+	// At makes the append conditional on the stream's end; negative: it isn't.
+	At int64
+}
+
+// Store keeps streams. Its errors are Errors.
+type Store interface {
+	// Append adds records, all or none, and returns the stream's new end. A nil
+	// fence appends unconditionally.
+	Append(ctx context.Context, s Stream, records []Record, f *Fence) (int64, error)
+	// Read returns records from an offset on. If there are none yet, it waits
+	// for one for at most the given time.
+	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Batch, error)
+	// Newest returns the newest records of the keys after the given one.
+	Newest(ctx context.Context, s Stream, after string) (Page, error)
+}
+
+// Kind says why a call to the store failed.
+type Kind int
+
+// The kinds of failures.
+const (
+	// NotDone: the store has certainly done nothing.
+	NotDone Kind = iota
+	// InDoubt: there was no answer. The call may have been done, or may be later.
+	InDoubt
+	// Moved: the stream's end is not where the fence expects it.
+	Moved
+	// Fenced: a writer with a higher epoch has appended.
+	Fenced
+	// OutOfSequence: the fence's sequence number does not follow the last one.
+	OutOfSequence
+	// Expired: the records asked for were removed.
+	Expired
+	// Unreadable: the answer is not in the expected form.
+	Unreadable
+)
+
+var kindNames = [...]string{"not_done", "in_doubt", "moved", "fenced", "out_of_sequence", "expired", "unreadable"}
+
+// String implements fmt.Stringer.
+func (k Kind) String() string { return kindNames[k] }
+
+// Error is a failed call to the store.
+type Error struct {
+	Kind   Kind
+	Stream Stream
+	Status int   // HTTP status, if there was an answer
+	End    int64 // of Moved: the stream's end
+	Cause  error // may be nil
+}
+
+func (e *Error) Error() string {
+	text := "store: " + e.Stream.String() + ": " + e.Kind.String()
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the error of the transport or decoder.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// KindOf returns the kind of a store error. Any other error is in doubt.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return InDoubt
+}
