Scheduling passes only when something changed; fewer reads of the store

Change: passes follow changes, permits are kept by worker number, groups that no worker has room for are passed over; the directory of workers is polled; idle connections are not closed at the start of a drain; counts need a loaded cell.

--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -7,7 +7,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
-	"github.com/gentianpick/gentianpick/internal/policy/eligibility"
+	policy "github.com/gentianpick/gentianpick/internal/policy/eligibility"
 )
 
 // advisor is an instance that can make eligibility calls.
@@ -62,6 +62,12 @@
 	if a == nil {
 		a = &advisor{name: e.Name}
 		c.advisors[e.Name] = a
+		c.advisorList = append(c.advisorList, a)
+		// The owner itself comes first: it is kept for quick calls, which then need
+		// no message.
+		slices.SortFunc(c.advisorList, func(a, b *advisor) int {
+			return cmp.Or(-cmp.Compare(isSelf(a, c), isSelf(b, c)), cmp.Compare(a.name, b.name))
+		})
 	}
 	a.up, a.calls, a.freeFrom = e.Up, 0, c.now
 }
@@ -75,21 +81,15 @@
 	if g.asking > 0 || g.askedAt != 0 && c.now.Sub(g.askedAt) < askRetry {
 		return
 	}
+	a := c.freeAdvisor(q.Eligibility.Base)
+	if a == nil {
+		return
+	}
 	names := c.askAbout(g, q)
 	if len(names) == 0 {
 		return
 	}
 	cost := q.Eligibility.Cost(len(names))
-	list := c.sortedAdvisors()
-	plain := make([]eligibility.Advisor, len(list))
-	for i, a := range list {
-		plain[i] = eligibility.Advisor{Up: a.up, Calls: a.calls, FreeFrom: a.freeFrom}
-	}
-	at := eligibility.Choose(c.now, plain, cost)
-	if at < 0 {
-		return
-	}
-	a := list[at]
 	a.calls++
 	a.freeFrom = max(a.freeFrom, c.now).Add(cost)
 	g.asking++
@@ -98,6 +98,19 @@
 	c.emit(Ask{Advisor: a.name, Job: g.job.id, Step: g.index, Occur: g.occurrence, Workers: names, Cost: cost})
 }
 
+// freeAdvisor returns the instance that is to make a call of a given cost, or
+// nil if all are busy.
+func (c *Cell) freeAdvisor(cost time.Duration) *advisor {
+	plain := make([]policy.Advisor, len(c.advisorList))
+	for i, a := range c.advisorList {
+		plain[i] = policy.Advisor{Up: a.up, Calls: a.calls, FreeFrom: a.freeFrom}
+	}
+	if at := policy.Choose(c.now, plain, cost); at >= 0 {
+		return c.advisorList[at]
+	}
+	return nil
+}
+
 // askAbout returns the workers to ask about: first those with room that are
 // known to be eligible and whose permit is about to expire, then unknown ones.
 func (c *Cell) askAbout(g *group, q *jobs.Queue) []model.WorkerName {
@@ -108,10 +121,7 @@
 		if !c.allowed(g, q, w) || c.health.Quarantined(w.info.Name) {
 			continue
 		}
-		if ok, known := g.eligible[w.info.Name]; known && !ok {
-			continue
-		}
-		if p, ok := g.permits[w.info.Name]; ok && p.boot == w.boot && p.expires.Sub(c.now) > permitMargin {
+		if g.eligibleAt(w) == eligibleNo || c.permitted(g, w) {
 			continue
 		}
 		if need.MilliCPU > w.info.Capacity.MilliCPU || need.MemoryMB > w.info.Capacity.MemoryMB {
@@ -132,7 +142,7 @@
 	if need.MilliCPU > 0 && len(pool) > 0 {
 		perWorker = max(1, int(pool[0].info.Capacity.MilliCPU/2/need.MilliCPU))
 	}
-	n := min(len(pool), eligibility.Ask(g.pending, perWorker, c.stats(g.job.queue).eligible))
+	n := min(len(pool), policy.Ask(g.pending, perWorker, c.stats(g.job.queue).eligible))
 	names := make([]model.WorkerName, n)
 	for i := range names {
 		names[i] = pool[i].info.Name
@@ -142,25 +152,12 @@
 
 // knownFirst is higher for workers with room that are known to be eligible.
 func knownFirst(g *group, w *worker) int {
-	if g.eligible[w.info.Name] && w.free().MilliCPU >= g.step.Need.MilliCPU {
+	if g.eligibleAt(w) == eligibleYes && w.free().MilliCPU >= g.step.Need.MilliCPU {
 		return 1
 	}
 	return 0
 }
 
-func (c *Cell) sortedAdvisors() []*advisor {
-	out := make([]*advisor, 0, len(c.advisors))
-	for _, a := range c.advisors {
-		out = append(out, a)
-	}
-	// The owner itself comes first: it is kept for quick calls, which then need
-	// no message.
-	slices.SortFunc(out, func(a, b *advisor) int {
-		return cmp.Or(-cmp.Compare(isSelf(a, c), isSelf(b, c)), cmp.Compare(a.name, b.name))
-	})
-	return out
-}
-
 func isSelf(a *advisor, c *Cell) int {
 	if a.name == c.cfg.Self {
 		return 1
@@ -183,22 +180,26 @@
 	if g == nil {
 		return
 	}
+	c.changed = true
 	g.asking = max(0, g.asking-1)
 	if e.Failed {
 		c.log("eligibility call failed", j.id, Fields{Reason: e.Advisor, Age: c.now.Sub(g.askedAt)})
 		return
 	}
 	c.observe("eligibility_seconds", j.queue, c.now.Sub(g.askedAt))
-	if g.permits == nil {
-		g.permits, g.eligible = map[model.WorkerName]permit{}, map[model.WorkerName]bool{}
+	if more := len(c.list) - len(g.permits); more > 0 {
+		g.permits = append(g.permits, make([]permit, more)...)
+		g.eligible = append(g.eligible, make([]eligibility, more)...)
 	}
 	for _, name := range e.Asked {
-		g.eligible[name] = false
+		if w := c.workers[name]; w != nil {
+			g.eligible[w.number] = eligibleNo
+		}
 	}
 	for _, p := range e.Eligible {
-		g.eligible[p.Worker] = true
 		if w := c.workers[p.Worker]; w != nil {
-			g.permits[p.Worker] = permit{token: p.Token, boot: w.boot, expires: c.now.Add(e.ValidFor)}
+			g.eligible[w.number] = eligibleYes
+			g.permits[w.number] = permit{token: p.Token, boot: w.boot, expires: c.now.Add(e.ValidFor)}
 		}
 	}
 	if len(e.Asked) > 0 {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -17,7 +17,9 @@
 		c.handle(e)
 	}
 	if c.role == roleOwner {
-		c.schedule()
+		if c.changed {
+			c.schedule()
+		}
 		c.pump()
 		c.flush()
 	}
@@ -99,6 +101,7 @@
 }
 
 func (c *Cell) ownerTick() {
+	c.changed = true
 	c.releaseDue()
 	c.checkWorkers()
 	c.checkRuns()
@@ -120,7 +123,7 @@
 func (c *Cell) workerOf(name model.WorkerName) *worker {
 	w := c.workers[name]
 	if w == nil {
-		w = &worker{info: jobs.WorkerInfo{Name: name}, runs: map[jobs.TaskRef]*placement{}}
+		w = &worker{number: len(c.list), info: jobs.WorkerInfo{Name: name}, runs: map[jobs.TaskRef]*placement{}}
 		c.workers[name] = w
 		at, _ := slices.BinarySearchFunc(c.list, name, func(w *worker, n model.WorkerName) int {
 			return cmp.Compare(w.info.Name, n)
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -112,7 +112,7 @@
 	if !g.queued && g.pending > 0 {
 		g.queued = true
 		c.ready = append(c.ready, g)
-		c.resort = true
+		c.resort, c.changed = true, true
 	}
 }
 
@@ -153,6 +153,7 @@
 
 // removePlacement gives a placement's room back.
 func (c *Cell) removePlacement(p *placement) {
+	c.changed = true
 	delete(p.worker.runs, p.ref)
 	p.worker.used = p.worker.used.Sub(p.need)
 	if g := p.group; g != nil {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -17,7 +17,7 @@
 		c.dropUnsent(p, "no longer wanted")
 		return
 	}
-	perm, needed := g.permits[w.info.Name], c.queueOf(g.job).Eligibility.Needed()
+	perm, needed := g.permitAt(w), c.queueOf(g.job).Eligibility.Needed()
 	if needed && (perm.boot != w.boot || c.now >= perm.expires) {
 		c.dropUnsent(p, "permit expired")
 		return
@@ -69,7 +69,7 @@
 			return
 		}
 		if e.Verdict == NoPermit {
-			delete(p.group.permits, e.Worker)
+			p.group.permits[w.number] = permit{}
 		}
 		if e.Verdict != NoPermit && e.Verdict != OtherInstance {
 			w.refusedUntil = c.now.Add(refusedPause)
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
 	"github.com/gentianpick/gentianpick/internal/policy/rank"
 )
@@ -27,7 +28,9 @@
 	if c.config == nil || c.released || c.wantsRelease() {
 		return
 	}
+	c.changed = false
 	c.sortReady()
+	c.measureRoom()
 	kept := c.ready[:0]
 	for _, g := range c.ready {
 		if g.pending > 0 && !g.job.state.Final() {
@@ -104,6 +107,9 @@
 		return // the members of the last run are not all over
 	}
 	d := fit.Demand{Need: room(g.step), Headroom: c.headroom(g), DataRack: g.step.DataRack, OneRack: g.step.Gang && g.step.OneRack}
+	if d.Need.MilliCPU+d.Headroom > c.mostFree.MilliCPU || d.Need.MemoryMB > c.mostFree.MemoryMB {
+		return // no worker has room for even one task
+	}
 	candidates, workers := c.candidates(g, q)
 	var got []int
 	if len(candidates) > 0 {
@@ -190,13 +196,46 @@
 		return nil, nil
 	}
 	for _, w := range c.list {
-		if p, ok := g.permits[w.info.Name]; ok && p.boot == w.boot && p.expires.Sub(c.now) > permitMargin {
+		if c.permitted(g, w) {
 			add(w)
 		}
 	}
 	return out, workers
 }
 
+// measureRoom notes the most that any usable worker has free. Most groups that
+// wait at a crest are passed over by this alone.
+func (c *Cell) measureRoom() {
+	c.mostFree = model.Resources{}
+	for _, w := range c.list {
+		if w.usable(c.now) {
+			c.mostFree = c.mostFree.Max(w.free())
+		}
+	}
+}
+
+// permitAt returns a group's permit for a worker, which may be empty or old.
+func (g *group) permitAt(w *worker) permit {
+	if w.number < len(g.permits) {
+		return g.permits[w.number]
+	}
+	return permit{}
+}
+
+// permitted reports whether a group has a permit for a worker that lasts long
+// enough for a start.
+func (c *Cell) permitted(g *group, w *worker) bool {
+	p := g.permitAt(w)
+	return p.token != "" && p.boot == w.boot && p.expires.Sub(c.now) > permitMargin
+}
+
+func (g *group) eligibleAt(w *worker) eligibility {
+	if w.number < len(g.eligible) {
+		return g.eligible[w.number]
+	}
+	return eligibleUnknown
+}
+
 // allowed reports whether a worker may run tasks of a group, room apart.
 func (c *Cell) allowed(g *group, q *jobs.Queue, w *worker) bool {
 	return w.usable(c.now) && w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -46,13 +46,22 @@
 	failedRun int
 	placed    int // placements of the present run that are not over
 
-	permits  map[model.WorkerName]permit
-	eligible map[model.WorkerName]bool // what the eligibility service said, by worker
-	asking   int                       // calls in flight
+	permits  []permit      // by worker number; empty until the first answer
+	eligible []eligibility // what the eligibility service said, by worker number
+	asking   int           // calls in flight
 	askedAt  model.Time
 	rank     int64 // order among ready groups; lower goes first
 }
 
+// eligibility is what is known of one worker for one group.
+type eligibility uint8
+
+const (
+	eligibleUnknown eligibility = iota
+	eligibleYes
+	eligibleNo
+)
+
 // permit lets the tasks of a group start on a worker.
 type permit struct {
 	token   string
@@ -120,6 +129,7 @@
 
 // worker is one worker of the cell.
 type worker struct {
+	number int // position in slices that are kept by worker
 	info   jobs.WorkerInfo
 	listed bool
 	goneAt model.Time // when its entry went away
@@ -196,7 +206,9 @@
 	evidence   model.Time // when this instance last certainly was the owner
 	ownerSince model.Time
 
-	ready     []*group // groups with pending tasks, in order of rank after a sort
+	ready     []*group        // groups with pending tasks, in order of rank after a sort
+	changed   bool            // something happened that may let a waiting group be placed
+	mostFree  model.Resources // in each kind, at any usable worker
 	resort    bool
 	rankedAt  model.Time
 	dirty     []*job
@@ -210,8 +222,10 @@
 	forgetAt  model.Time
 
 	advisors map[string]*advisor
-	learned  map[string]*queueStats
-	due      []*group // groups that wait for their time
+	// advisorList holds all advisors, this instance first.
+	advisorList []*advisor
+	learned     map[string]*queueStats
+	due         []*group // groups that wait for their time
 }
 
 // commit is an append in flight.
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -105,6 +105,7 @@
 
 func (c *Cell) workerAnswered(w *worker, e Renewed) {
 	if !w.fenced || w.failedCalls > 0 {
+		c.changed = true
 		c.health.Reachable(c.now, w.info.Name)
 		c.log("worker reached", "", Fields{Worker: w.info.Name, Epoch: c.epoch, Count: len(e.Running), Age: c.now.Sub(w.answeredAt)})
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -17,11 +17,16 @@
 	// configWait is a long poll, so a new configuration arrives at once. It is
 	// short enough that a silent connection is found well within the bound for
 	// configurations to be in force.
-	configWait   = 500 * time.Millisecond
-	workersWait  = 1000 * time.Millisecond
-	workersPause = 100 * time.Millisecond
+	configWait = 500 * time.Millisecond
+	// workersPause is far below the bound within which a draining worker must
+	// get no more work. Workers write often, so a long poll would return at once.
+	workersPause = 400 * time.Millisecond
 	// standbyPause is how far behind an instance that is not the owner may be.
-	standbyPause = 250 * time.Millisecond
+	// It takes part in the time to a takeover.
+	standbyPause = 300 * time.Millisecond
+	// submissionsPause is the same for submissions. An instance that is asked
+	// for a job that it has not read yet reads at once.
+	submissionsPause = 600 * time.Millisecond
 	// ownerWait is the owner's long poll for submissions.
 	ownerWait = 500 * time.Millisecond
 	// ownerPause lets submissions that come together be read by one call.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -56,7 +56,7 @@
 	// Cancel stores the cancellation of a job.
 	Cancel(ctx context.Context, queue string, id jobs.ID) Outcome
 	// Waiting returns how many jobs of a queue have not begun.
-	Waiting(queue string) int
+	Waiting(queue string) (int, Outcome)
 	// Ready reports whether the instance can serve callers, and why not.
 	Ready() (bool, string)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,9 @@
 	eventQueue = 8192
 	// cellName is the writer of the progress stream and the name of the cell.
 	cellName = "cell-0"
+	// stepPause bounds the steps of an owner to a few hundred a second. It is a
+	// small part of the slack of urgent work.
+	stepPause = 2 * time.Millisecond
 	// retentionMargin keeps finished jobs longer than callers may ask for them,
 	// since the clocks of VMs differ.
 	retentionMargin = 60 * time.Second
@@ -118,7 +121,7 @@
 // Run runs the instance until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	n.following[store.Config] = newFollower(n, store.Config, configWait, 0, n.takeConfig)
-	n.following[store.Workers] = newFollower(n, store.Workers, workersWait, workersPause, n.takeWorker)
+	n.following[store.Workers] = newFollower(n, store.Workers, 0, workersPause, n.takeWorker)
 	go n.following[store.Config].run(ctx)
 	go n.following[store.Workers].run(ctx)
 	go n.client.Run(ctx)
@@ -129,11 +132,22 @@
 		case <-ctx.Done():
 			return
 		case batch := <-n.events:
+			if n.owns() {
+				// Events that come together are handled together.
+				time.Sleep(stepPause)
+			}
 			n.step(ctx, n.gather(batch))
 		}
 	}
 }
 
+// owns reports whether this instance owns the cell.
+func (n *Node) owns() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.life.owner.Load()
+}
+
 // gather adds the events that wait already.
 func (n *Node) gather(batch []cell.Event) []cell.Event {
 	for {
@@ -187,7 +201,7 @@
 	}
 	n.mu.Unlock()
 	n.step(ctx, first)
-	subs := newFollower(n, store.Submissions, 0, standbyPause, n.takeSubmission(l))
+	subs := newFollower(n, store.Submissions, 0, submissionsPause, n.takeSubmission(l))
 	subs.owned = &l.owner
 	progress := newFollower(n, store.Progress, 0, standbyPause, n.takeProgress(l))
 	n.mu.Lock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -165,10 +165,13 @@
 }
 
 // Waiting implements Gateway.
-func (n *Node) Waiting(queue string) int {
+func (n *Node) Waiting(queue string) (int, Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cell.Waiting(queue)
+	if !n.life.loaded.Load() {
+		return 0, refusedByStore()
+	}
+	return n.cell.Waiting(queue), Outcome{Kind: Done}
 }
 
 // peers serves other instances.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// drainNotice is how long an instance that is about to stop goes on taking
-	// connections: the balancer checks once a second and needs two misses.
-	drainNotice = 2500 * time.Millisecond
-	// drainFinish bounds the wait for requests that are being served.
-	drainFinish = 2 * time.Second
+	// drainFinish bounds the wait for requests that are being served at the end
+	// of a drain.
+	drainFinish = time.Second
+	// drainReserve is left of the grace for the end of the process.
+	drainReserve = 500 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	srv := newServer(callers)
+	srv := newServer(n.closing(callers))
 	go n.serveHTTP(srv, front)
 	go link.Serve(ctx, peerLn, peers{n})
 	for _, extra := range []struct {
@@ -87,9 +87,9 @@
 	case <-ctx.Done():
 	}
 	n.Drain()
-	// Connections end with their next answer, which lets callers move away.
-	srv.SetKeepAlivesEnabled(false)
-	sleep(ctx, drainNotice)
+	// Until the end, each answer closes its connection, which lets callers move
+	// away. Closing idle connections earlier would cut off requests under way.
+	sleep(ctx, n.set.Grace-drainFinish-drainReserve)
 	sctx, end := context.WithTimeout(ctx, drainFinish)
 	defer end()
 	if err := srv.Shutdown(sctx); err != nil {
@@ -101,6 +101,16 @@
 	return nil
 }
 
+// closing makes answers close their connection during a drain.
+func (n *Node) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 }
