A new owner knows every job before it asks workers

Cause: an instance reads the submissions with a delay. Change: the owner acts after a read of the submissions that was sent after its claim; a job has begun when a worker has a run of it.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -17,10 +17,12 @@
 		c.handle(e)
 	}
 	if c.role == roleOwner {
-		if c.changed {
-			c.schedule()
+		if c.settled {
+			if c.changed {
+				c.schedule()
+			}
+			c.pump()
 		}
-		c.pump()
 		c.flush()
 	}
 	return c.out
@@ -42,6 +44,8 @@
 		c.claimRead(e.Claim)
 	case StreamRead:
 		c.streamRead(e)
+	case SubmissionsRead:
+		c.submissionsRead(e)
 	case WorkerListed:
 		c.workerListed(e.Info)
 	case WorkerUnlisted:
@@ -96,7 +100,9 @@
 	case roleFollower:
 		c.considerClaim()
 	case roleOwner:
-		c.ownerTick()
+		if c.settled {
+			c.ownerTick()
+		}
 	}
 }
 
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -39,6 +39,9 @@
 	Records int
 }
 
+// SubmissionsRead says that a read of the submissions reached their end.
+type SubmissionsRead struct{ SentAt model.Time }
+
 // WorkerListed is a worker's entry in the directory.
 type WorkerListed struct{ Info jobs.WorkerInfo }
 
@@ -166,6 +169,7 @@
 func (ProgressRead) isEvent()        {}
 func (ClaimRead) isEvent()           {}
 func (StreamRead) isEvent()          {}
+func (SubmissionsRead) isEvent()     {}
 func (WorkerListed) isEvent()        {}
 func (WorkerUnlisted) isEvent()      {}
 func (Renewed) isEvent()             {}
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -21,7 +21,7 @@
 	if j.progress != nil {
 		j.applyState(j.progress)
 	}
-	if c.role != roleOwner {
+	if !c.settled {
 		return
 	}
 	c.log("job accepted", j.id, Fields{Reason: j.queue, Count: len(j.steps)})
@@ -38,7 +38,7 @@
 		return
 	}
 	j.cancelled = true
-	if c.role == roleOwner {
+	if c.settled {
 		c.cancelJob(j)
 	}
 }
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -58,17 +58,27 @@
 	c.evidence, c.ownerSince, c.lastSent = e.SentAt, c.now, c.now
 	c.claim = jobs.Claim{Epoch: e.Epoch, Owner: c.cfg.Self, Address: c.cfg.Address, DataCentre: c.cfg.DataCentre}
 	c.commit = 0
-	// What an earlier owner granted ends at the latest this long after the
-	// claim reached the store.
+	c.emit(RoleChanged{Owner: true, Epoch: c.epoch})
+}
+
+// submissionsRead lets a new owner act once it knows every job that an earlier
+// one may have started. An end that a worker lists for a job that is not known
+// would be lost.
+func (c *Cell) submissionsRead(e SubmissionsRead) {
+	if c.role != roleOwner || c.settled || e.SentAt < c.ownerSince {
+		return
+	}
+	c.settled = true
 	for _, j := range c.sortedJobs() {
 		c.activate(j)
 	}
+	// What an earlier owner granted ends at the latest this long after the
+	// claim reached the store.
 	for _, w := range c.list {
 		w.leaseEnd = c.now.Add(c.longestLease())
 	}
 	c.observe("takeover_silence_seconds", "", c.now.Sub(c.ownerSeen))
 	c.log("cell owned", "", Fields{Epoch: c.epoch, Count: len(c.jobs), Age: c.now.Sub(c.ownerSeen)})
-	c.emit(RoleChanged{Owner: true, Epoch: c.epoch})
 }
 
 // sortedJobs returns all jobs in the order of their submission.
@@ -87,7 +97,7 @@
 	if c.role != roleOwner {
 		return
 	}
-	c.role = roleFollower
+	c.role, c.settled = roleFollower, false
 	c.log("cell lost", "", Fields{Epoch: c.epoch, Reason: reason, Age: c.now.Sub(c.evidence)})
 	c.emit(RoleChanged{Epoch: c.epoch})
 	c.emit(Reload{Reason: reason})
@@ -116,7 +126,7 @@
 		w.durableEnd = max(w.durableEnd, seq)
 	}
 	if in.release {
-		c.role, c.yielded = roleFollower, c.now
+		c.role, c.settled, c.yielded = roleFollower, false, c.now
 		c.claim.Released = true
 		c.log("cell released", "", Fields{Epoch: c.epoch})
 		c.emit(RoleChanged{Epoch: c.epoch})
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -25,10 +25,6 @@
 	t := &g.tasks[p.ref.Index]
 	p.phase, p.sentAt = phaseStarting, c.now
 	j := g.job
-	if !j.started {
-		j.started = true
-		c.observe("job_wait_seconds", j.queue, c.now.Sub(j.arrived))
-	}
 	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
 	c.emit(Start{
 		Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run,
@@ -99,6 +95,7 @@
 	p.phase, p.confirmedAt, p.percentAt = phaseRunning, c.now, c.now
 	if j := p.group.job; j.state == jobs.Queued {
 		j.state, j.started = jobs.Running, true
+		c.observe("job_wait_seconds", j.queue, c.now.Sub(j.arrived))
 		c.markDirty(j)
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -205,6 +205,7 @@
 	yielded    model.Time // when this instance gave the cell up
 	evidence   model.Time // when this instance last certainly was the owner
 	ownerSince model.Time
+	settled    bool // owner that knows every job
 
 	ready     []*group        // groups with pending tasks, in order of rank after a sort
 	changed   bool            // something happened that may let a waiting group be placed
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -51,6 +51,7 @@
 			l.owner.Store(e.Owner)
 			if e.Owner {
 				n.client.Target("")
+				n.following[store.Submissions].hurry()
 			}
 			n.deps.Telemetry.Owner(e.Owner, e.Epoch)
 		case cell.Reload:
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -49,13 +49,14 @@
 	paused *atomic.Bool // if set and true, the stream is not read
 
 	next   int64
+	wake   chan struct{}    // ends a pause
 	at     atomic.Int64     // the same as next, for other goroutines
 	loaded map[string]int64 // offsets of keys that the load has returned
 	failed int
 }
 
 func newFollower(n *Node, s store.Stream, wait, pause time.Duration, take func(store.Record)) *follower {
-	return &follower{n: n, stream: s, wait: wait, pause: pause, take: take}
+	return &follower{n: n, stream: s, wait: wait, pause: pause, take: take, wake: make(chan struct{}, 1)}
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -112,7 +113,7 @@
 			wait, pause = ownerWait, ownerPause
 		}
 		if f.read(ctx, wait) {
-			sleep(ctx, pause)
+			f.rest(ctx, pause)
 		}
 	}
 }
@@ -148,6 +149,28 @@
 	return true
 }
 
+// rest pauses, unless the stream is to be read at once.
+func (f *follower) rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.wake:
+	case <-ctx.Done():
+	}
+}
+
+// hurry ends the present pause.
+func (f *follower) hurry() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) moveTo(offset int64) {
 	f.next = offset
 	f.at.Store(offset)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,6 +213,11 @@
 		}
 	}
 	progress.paused = &l.owner
+	subs.after = func(_ store.Batch, sentAt model.Time) {
+		if l.owner.Load() {
+			n.send(l, cell.SubmissionsRead{SentAt: sentAt})
+		}
+	}
 	go func() {
 		// Submissions first: progress refers to them.
 		if subs.load(l.ctx) && progress.load(l.ctx) {
