The room of a placement is given back once

Cause: a placement that was taken back before its start (job cancelled or finished, gang broken) stayed in the append under way. Change: a placement whose room was given back is over and is not touched again. Run times are learned again: the placement's phase had changed before.

--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -43,13 +43,13 @@
 
 // learn compares a run's time with its estimate.
 func (c *Cell) learn(g *group, p *placement) {
-	if p == nil || p.confirmedAt == 0 || g.step.EstimateMs <= 0 || p.phase != phaseRunning || p.sentAt == 0 {
+	if p == nil || p.sentAt == 0 || g.step.EstimateMs <= 0 {
 		return
 	}
-	took := float64(c.now.Sub(p.confirmedAt).Milliseconds())
+	took := float64(c.now.Sub(p.sentAt).Milliseconds())
 	s := c.stats(g.job.queue)
 	s.ratio += ratioWeight * (min(took/float64(g.step.EstimateMs), maxRatio) - s.ratio)
-	c.observe("run_seconds", g.job.queue, c.now.Sub(p.confirmedAt))
+	c.observe("run_seconds", g.job.queue, c.now.Sub(p.sentAt))
 }
 
 // estimate returns how long a task of a step probably runs.
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -103,7 +103,7 @@
 // stop ends a run. Its room is held until the worker says that it is over.
 func (c *Cell) stop(p *placement, reason string) {
 	switch p.phase {
-	case phaseStopping, phaseInherited:
+	case phaseStopping, phaseOver, phaseInherited:
 		return // an inherited run is settled when its worker has answered
 	case phasePlanned:
 		c.removePlacement(p)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -98,9 +98,10 @@
 	phaseRunning                // the worker has it
 	phaseStopping               // a stop was sent or is due
 	phaseInherited              // an earlier owner's; the worker was not asked yet
+	phaseOver                   // its room was given back
 )
 
-var phaseNames = [...]string{"planned", "starting", "running", "stopping", "inherited"}
+var phaseNames = [...]string{"planned", "starting", "running", "stopping", "inherited", "over"}
 
 func (p phase) String() string { return phaseNames[p] }
 
--- a/internal/logbuf/logbuf.go
+++ b/internal/logbuf/logbuf.go
@@ -3,6 +3,7 @@
 package logbuf
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -14,6 +15,9 @@
 	// capacity bounds the buffered bytes. It holds a second of lines at the
 	// highest load.
 	capacity = 512 << 10
+	// chunk bounds one write, which ends with a line. Writes of up to this size
+	// to a pipe are not mixed with those of other processes.
+	chunk = 4096
 	// flushInterval bounds the age of a buffered line.
 	flushInterval = 100 * time.Millisecond
 )
@@ -83,8 +87,15 @@
 	if lost > 0 {
 		out = fmt.Appendf(out, "{\"level\":\"warn\",\"lines\":%d,\"message\":\"log lines dropped\"}\n", lost)
 	}
-	if len(out) > 0 {
+	for len(out) > 0 {
+		n := len(out)
+		if n > chunk {
+			if n = bytes.LastIndexByte(out[:chunk], '\n') + 1; n == 0 {
+				n = len(out)
+			}
+		}
 		// Nobody can be told that the log's own output is gone.
-		_, _ = w.out.Write(out)
+		_, _ = w.out.Write(out[:n])
+		out = out[n:]
 	}
 }
