Histories of the cell in virtual time, and what they found

Change: entries of finished jobs keep their runs until these are over; a stop that was accepted once is not sent again. Each check rejects a planted history, and each failure found so far has a test that fails without its fix.

--- /dev/null
+++ b/internal/cell/cell_test.go
@@ -0,0 +1,193 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// owned returns a simulation with one owner among its instances.
+func owned(t *testing.T, nodes, workers int) (*sim, *simNode) {
+	t.Helper()
+	s := newSim(1, nodes, workers)
+	s.run(3 * time.Second)
+	for _, n := range s.nodes {
+		if n.cell.settled {
+			return s, n
+		}
+	}
+	t.Fatal("no owner")
+	return nil, nil
+}
+
+// put stores a job of one step.
+func (s *sim) put(id jobs.ID, queue string, step jobs.Step) {
+	j := jobs.Job{ID: id, Queue: queue, Steps: []jobs.Step{step}}
+	s.newest[id] = j
+	s.store.subs = append(s.store.subs, Entry{Key: jobs.JobKey(id), Value: jobs.Encode(j)})
+}
+
+func cores(n int64) model.Resources { return model.Resources{MilliCPU: 1000 * n, MemoryMB: 1000} }
+
+// A job that was cancelled between its placement and the append of it gave its
+// room back twice, so that the worker was given more than it has.
+func TestCancelBeforeStartGivesRoomBackOnce(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	s.put("00000000000000aa", "batch", jobs.Step{Tasks: 2, Need: cores(4), EstimateMs: 1000})
+	for len(n.cell.list[0].runs) == 0 {
+		s.run(time.Millisecond)
+	}
+	n.send(n.life, JobCancelled{ID: "00000000000000aa"})
+	s.run(3 * time.Second)
+	is.Equal(len(n.cell.list[0].runs), 0)
+	is.Equal(n.cell.list[0].used, model.Resources{})
+}
+
+// A new owner that had not read a submission yet ignored and acknowledged the
+// end of its run, and ran the task again.
+func TestTakeoverKnowsEveryJob(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, 4)
+		s.run(3 * time.Second)
+		for i := range 100 {
+			s.after(time.Duration(i)*20*time.Millisecond, func() {
+				id := jobs.ID(fmt.Sprintf("%016x", i))
+				s.put(id, "urgent", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 100})
+			})
+		}
+		s.run(time.Second)
+		for _, n := range s.nodes {
+			if n.owner {
+				n.send(n.life, DrainStarted{}) // the successor claims at once
+			}
+		}
+		s.run(10 * time.Second)
+		is.Equal(s.wrong, nil) // none ran twice
+	}
+}
+
+// The room of runs that a finished job still had was not known to the next
+// owner, which then gave the worker more than it has.
+func TestTakeoverCountsRunsOfFinishedJobs(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 2, 1)
+	s.put("00000000000000cc", "batch", jobs.Step{Tasks: 1, Need: cores(12), EstimateMs: 20000})
+	s.run(time.Second)
+	w := s.workers[0]
+	is.Equal(len(w.runs), 1)
+	n.away[w] = true // the stop does not get through
+	s.cancel("00000000000000cc")
+	s.run(time.Second)
+	is.Equal(n.cell.jobs["00000000000000cc"].stored, jobs.Cancelled)
+	n.kill()
+	s.put("00000000000000cd", "urgent", jobs.Step{Tasks: 2, Need: cores(6), EstimateMs: 500})
+	s.run(10 * time.Second)
+	is.Equal(s.wrong, nil)
+}
+
+// A stop that was accepted again and again moved the time after which the
+// worker's list counts, so that the run was never found to be over.
+func TestStopOfLostStartIsSettled(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	s.lateOrders = 1
+	s.put("00000000000000dd", "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 300})
+	s.run(time.Second)
+	s.lateOrders = 0
+	s.run(30 * time.Second)
+	v, _ := n.cell.Job("00000000000000dd")
+	is.Equal(v.State, jobs.Completed)
+	is.Equal(s.wrong, nil)
+}
+
+// A job whose only start was refused counted as begun, so that the queue said
+// that nothing waits.
+func TestRefusedStartIsNoBeginning(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	s.lateOrders = 1
+	s.put("00000000000000ee", "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 300})
+	s.run(200 * time.Millisecond)
+	is.Equal(n.cell.Waiting("batch"), 1)
+}
+
+// Two instances that claimed at the same end of the stream must not both win.
+func TestOneClaimWins(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(50) {
+		s := newSim(seed, 5, 2)
+		s.run(2 * time.Second)
+		owners := 0
+		for _, n := range s.nodes {
+			if n.cell.IsOwner() {
+				owners++
+			}
+		}
+		is.Equal(owners, 1)
+	}
+}
+
+// The checks of the simulation must see what they are there for.
+func TestChecksRejectWrongHistories(t *testing.T) {
+	start := func(w *simWorker, task jobs.TaskRef, run int) {
+		w.start(Start{Worker: w.name, Epoch: 1, Task: task, Run: run, LeaseUntil: w.clock() + model.WorkerTime(simLease)})
+	}
+	job := jobs.ID("00000000000000ff")
+	first := jobs.TaskRef{Job: job}
+	for name, plant := range map[string]func(s *sim){
+		"two at the same time": func(s *sim) {
+			start(s.workers[0], first, 1)
+			start(s.workers[1], first, 2)
+		},
+		"after it was done": func(s *sim) {
+			s.truth.done[first] = true
+			start(s.workers[0], first, 2)
+		},
+		"above capacity": func(s *sim) {
+			start(s.workers[0], first, 1)
+			start(s.workers[0], jobs.TaskRef{Job: job, Index: 1}, 1)
+		},
+		"before its predecessors": func(s *sim) { start(s.workers[0], jobs.TaskRef{Job: job, Step: 1}, 1) },
+		"too many attempts": func(s *sim) {
+			s.truth.noted[first] = 4
+			start(s.workers[0], first, 5)
+		},
+		"after its cancellation": func(s *sim) {
+			s.truth.cancelled[job] = s.now.Add(-4 * time.Second)
+			start(s.workers[0], first, 1)
+		},
+		"a job that is lost": func(s *sim) { s.checkEnd() },
+		"a job that stays": func(s *sim) {
+			s.nodes[0].cell.jobs[job] = &cellJob{id: job, state: jobs.Running, stored: jobs.Running}
+			s.checkEnd()
+		},
+		"completed without its tasks": func(s *sim) {
+			s.nodes[0].cell.jobs[job] = &cellJob{id: job, state: jobs.Completed, stored: jobs.Completed}
+			s.checkEnd()
+		},
+		"failed without cause": func(s *sim) {
+			s.nodes[0].cell.jobs[job] = &cellJob{id: job, state: jobs.Failed, stored: jobs.Failed}
+			s.checkEnd()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(1, 1, 2)
+			s.newest[job] = jobs.Job{ID: job, Queue: "batch", Steps: []jobs.Step{
+				{Tasks: 2, Need: cores(10), EstimateMs: 1000}, {Tasks: 1, Need: cores(1), EstimateMs: 1000, After: []int{0}},
+			}}
+			plant(s)
+			is.True(len(s.wrong) > 0)
+		})
+	}
+}
+
+// cellJob is the type job, which the tests' variables hide.
+type cellJob = job
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -72,7 +72,7 @@
 func (j *job) applyState(p *jobs.Progress) {
 	j.state, j.stored, j.finished = p.State, p.State, p.FinishedMs
 	j.started = j.started || p.State != jobs.Queued
-	if p.State.Final() {
+	if p.State.Final() && len(p.Groups) == 0 {
 		j.release()
 	}
 }
@@ -82,6 +82,17 @@
 	j.payload, j.steps, j.groups, j.progress = "", nil, nil, nil
 }
 
+// releaseIfOver releases a finished job that has no runs left. While it has,
+// their room is taken.
+func (j *job) releaseIfOver() {
+	for _, g := range j.groups {
+		if g.placed > 0 {
+			return
+		}
+	}
+	j.release()
+}
+
 func (c *Cell) claimRead(claim jobs.Claim) {
 	c.maxEpoch = max(c.maxEpoch, claim.Epoch)
 	if claim.Epoch < c.claim.Epoch {
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -10,7 +10,7 @@
 // activate builds the groups of an unfinished job from its submission and
 // progress, and queues those that may start.
 func (c *Cell) activate(j *job) {
-	if j.state.Final() || len(j.steps) == 0 {
+	if len(j.steps) == 0 {
 		return
 	}
 	if j.groups == nil {
@@ -28,6 +28,9 @@
 			c.applyGroup(j, &p.Groups[i])
 		}
 	}
+	if j.state.Final() {
+		return // its last runs are stopped when their workers answer
+	}
 	if j.cancelled {
 		c.cancelJob(j)
 		return
@@ -54,7 +57,8 @@
 		}
 	}
 	for _, t := range p.Tasks {
-		if t.Index < 0 || t.Index >= len(g.tasks) || g.tasks[t.Index].state != taskPending {
+		if t.Index < 0 || t.Index >= len(g.tasks) {
+			c.log("progress names an unknown task", j.id, Fields{Count: t.Index})
 			continue
 		}
 		own := &g.tasks[t.Index]
@@ -133,8 +137,11 @@
 func (c *Cell) newPlacement(g *group, index int, w *worker, run int) *placement {
 	p := &placement{group: g, ref: g.ref(index), worker: w, run: run, need: room(g.step), plannedAt: c.now, percentAt: c.now}
 	t := &g.tasks[index]
-	t.state, t.placement, t.run = taskPlaced, p, run
-	g.pending--
+	if t.state == taskPending {
+		t.state = taskPlaced
+		g.pending--
+	}
+	t.placement, t.run = p, run
 	g.placed++
 	w.runs[p.ref] = p
 	w.used = w.used.Add(p.need)
@@ -159,6 +166,9 @@
 	p.worker.used = p.worker.used.Sub(p.need)
 	if g := p.group; g != nil {
 		g.placed--
+		if g.job.state.Final() && g.placed == 0 {
+			c.markDirty(g.job)
+		}
 		if t := &g.tasks[p.ref.Index]; t.placement == p {
 			t.placement = nil
 		}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -118,8 +118,8 @@
 	c.observe("append_seconds", "", c.now.Sub(in.sentAt))
 	for _, s := range in.states {
 		s.job.stored = s.state
-		if s.state.Final() {
-			s.job.release()
+		if s.state.Final() && !s.job.dirty {
+			s.job.releaseIfOver()
 		}
 	}
 	for w, seq := range in.ends {
@@ -182,10 +182,10 @@
 // snapshot returns the entry that describes a job.
 func (j *job) snapshot() *jobs.Progress {
 	p := &jobs.Progress{State: j.state, FinishedMs: j.finished}
-	if j.state.Final() {
-		return p
-	}
 	for _, g := range j.groups {
+		if j.state.Final() && g.placed == 0 {
+			continue
+		}
 		if gp := g.snapshot(); gp != nil {
 			p.Groups = append(p.Groups, *gp)
 		}
@@ -200,7 +200,9 @@
 		t := &g.tasks[i]
 		if t.state == taskDone {
 			gp.Done.Set(i)
-			continue
+			if t.placement == nil {
+				continue
+			}
 		}
 		if t.run == 0 && t.checkpoint == "" {
 			continue
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -137,8 +137,7 @@
 	case Accepted:
 		// The worker has it stopped or barred. Its end, or a list without it,
 		// frees the room.
-		p.confirmedAt = c.now
-		p.unlisted = 0
+		p.barred, p.confirmedAt = true, c.now
 	case Superseded:
 		c.reload("a worker has seen a higher epoch")
 	}
@@ -229,7 +228,7 @@
 func (c *Cell) checkRuns() {
 	for _, w := range c.list {
 		for _, p := range sortedRuns(w) {
-			if p.phase == phaseStopping && !p.stopping && c.now.Sub(p.stopSentAt) >= stopRetry {
+			if p.phase == phaseStopping && !p.stopping && !p.barred && c.now.Sub(p.stopSentAt) >= stopRetry {
 				c.sendStop(p)
 			}
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -120,6 +120,7 @@
 	confirmedAt model.Time // when the worker was first known to have it
 	stopSentAt  model.Time
 	stopping    bool // a stop is in flight
+	barred      bool // the worker has accepted a stop
 	reason      string
 
 	percent   int
