Runs of a worker that is gone are given up; quicker handover

Change: a worker that does not answer keeps its lease. An owner that gives the cell up closes its links, and a lost link makes an instance read the stream. Test: TestRunsOfGoneWorkerAreGivenUp; histories have workers that leave.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -65,7 +65,7 @@
 		s.run(time.Second)
 		for _, n := range s.nodes {
 			if n.owner {
-				n.send(n.life, DrainStarted{}) // the successor claims at once
+				n.drain() // the successor claims at once
 			}
 		}
 		s.run(10 * time.Second)
@@ -118,6 +118,20 @@
 	is.Equal(n.cell.Waiting("batch"), 1)
 }
 
+// Renewals that had no answer extended the lease of a worker that was gone, so
+// that its runs were never given up.
+func TestRunsOfGoneWorkerAreGivenUp(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 2)
+	s.put("00000000000000fa", "batch", jobs.Step{Tasks: 20, Need: cores(1), EstimateMs: 2000})
+	s.run(500 * time.Millisecond)
+	s.workers[0].leave()
+	s.run(20 * time.Second)
+	v, _ := n.cell.Job("00000000000000fa")
+	is.Equal(v.State, jobs.Completed)
+	is.Equal(s.wrong, nil)
+}
+
 // Two instances that claimed at the same end of the stream must not both win.
 func TestOneClaimWins(t *testing.T) {
 	is := is.New(t)
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -15,17 +15,17 @@
 	// heartbeatInterval is the longest pause between an owner's appends.
 	heartbeatInterval = 300 * time.Millisecond
 	// silenceWithLink is how long the owner's entries may be missing while its
-	// connection works. It covers five heartbeats and a slow store.
-	silenceWithLink = 1500 * time.Millisecond
-	// silenceWithoutLink is the same once the connection is lost. It covers two
-	// heartbeats and one read of the stream.
-	silenceWithoutLink = 700 * time.Millisecond
+	// connection works. It covers three heartbeats and a slow store.
+	silenceWithLink = 1200 * time.Millisecond
+	// silenceWithoutLink is the same once the connection is lost. It covers one
+	// heartbeat and its way through the store.
+	silenceWithoutLink = 400 * time.Millisecond
 	// readFresh is how old the newest complete read of the stream may be for
 	// an instance to judge the owner's silence by it.
 	readFresh = 600 * time.Millisecond
 	// claimSpread separates the claims of instances that suspect the owner at
 	// the same time.
-	claimSpread = 250 * time.Millisecond
+	claimSpread = 150 * time.Millisecond
 	// claimRetry is the pause after a lost or failed claim.
 	claimRetry = 400 * time.Millisecond
 	// yieldPause keeps an owner that gave the cell up from claiming it at once.
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -105,7 +105,12 @@
 	}
 	w := s.workers[s.rnd.IntN(len(s.workers))]
 	d := 200*time.Millisecond + time.Duration(s.rnd.Int64N(int64(8*time.Second)))
-	switch s.rnd.IntN(10) {
+	switch s.rnd.IntN(11) {
+	case 10:
+		if len(s.workers)-s.gone > 5 && w.up {
+			s.gone++
+			w.leave()
+		}
 	case 0, 1:
 		if n.alive {
 			n.kill()
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -13,7 +13,7 @@
 		return
 	}
 	g, w := p.group, p.worker
-	if g.job.state.Final() || !w.fenced {
+	if g.job.state.Final() || !w.fenced || w.failedCalls > 0 {
 		c.dropUnsent(p, "no longer wanted")
 		return
 	}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -30,6 +30,7 @@
 	lostAnswers float64 // share of appends whose answer is lost
 	lateOrders  float64 // share of orders that are not answered and done late
 	storeDown   bool
+	gone        int // workers that left for good
 	newest      map[jobs.ID]jobs.Job // submitted jobs
 }
 
@@ -124,6 +125,8 @@
 	held   []Event // events that arrive during a pause
 	cut    bool    // from the store
 	away   map[*simWorker]bool
+	// draining instances tell each new cell so, as the driver does.
+	draining bool
 
 	subsAt, progressAt int
 	claimSeq           int64
@@ -245,12 +248,23 @@
 	n.subsAt, n.progressAt = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, AdvisorChanged{Name: self, Up: true}}
 	for _, w := range n.s.workers {
-		events = append(events, WorkerListed{Info: w.info()})
+		if !w.unlisted {
+			events = append(events, WorkerListed{Info: w.info()})
+		}
+	}
+	if n.draining {
+		events = append(events, DrainStarted{})
 	}
 	life := n.life
 	n.s.after(0, func() { n.send(life, events...) })
 }
 
+// drain makes the instance give the cell up for good.
+func (n *simNode) drain() {
+	n.draining = true
+	n.send(n.life, DrainStarted{})
+}
+
 func (n *simNode) send(life int, events ...Event) {
 	if n.life != life || !n.alive {
 		return
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -48,6 +48,7 @@
 	s        *sim
 	name     model.WorkerName
 	up       bool
+	unlisted bool // left for good
 	boot     int64
 	rate     float64 // of its clock
 	born     model.Time
@@ -91,6 +92,21 @@
 	w.s.after(down, w.boots)
 }
 
+// leave ends the worker for good. Its entry goes away a little later.
+func (w *simWorker) leave() {
+	for _, t := range w.tasks() {
+		w.drop(t)
+	}
+	w.up = false
+	w.wake(len(w.waiting))
+	w.s.after(4500*time.Millisecond, func() {
+		w.unlisted = true
+		for _, n := range w.s.nodes {
+			n.send(n.life, WorkerUnlisted{Name: w.name})
+		}
+	})
+}
+
 func (w *simWorker) info() jobs.WorkerInfo {
 	return jobs.WorkerInfo{Name: w.name, Service: "svc", Address: string(w.name), Boot: w.boot, Capacity: w.capacity}
 }
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -66,7 +66,9 @@
 // in its own clock. It counts from the moment at which this instance last was
 // the owner for certain, so that a successor knows when leases have run out.
 func (c *Cell) leaseUntil(w *worker) model.WorkerTime {
-	if w.clockAt == 0 {
+	if w.clockAt == 0 || w.failedCalls > 0 {
+		// A worker that does not answer keeps the lease that it has, so that its
+		// runs are certainly over some time.
 		return 0
 	}
 	until := w.clock + model.WorkerTime(c.evidence.Sub(w.clockAt)+c.cfg.Lease)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -120,6 +120,9 @@
 	return call[AskReply](ctx, p.conn, methodAsk, r)
 }
 
+// Close ends the connection to the peer.
+func (p *Peer) Close() { _ = p.conn.Close() }
+
 func call[R any](ctx context.Context, conn *jsonrpc2.Conn, method string, params any) (R, error) {
 	var out R
 	if err := conn.Call(ctx, method, params, &out); err != nil {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -52,6 +52,8 @@
 			if e.Owner {
 				n.client.Target("")
 				n.following[store.Submissions].hurry()
+			} else {
+				n.dropPeers()
 			}
 			n.deps.Telemetry.Owner(e.Owner, e.Epoch)
 		case cell.Reload:
@@ -71,6 +73,16 @@
 	claimTimeout = 4 * time.Second
 )
 
+// dropPeers closes the connections of the other instances, which makes them
+// look for the new owner at once.
+func (n *Node) dropPeers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		p.Close()
+	}
+}
+
 // append appends an owner's entries until the store has them or refuses them
 // for good. The store's clock of ownership is the time at which the first
 // attempt was sent.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -260,6 +260,15 @@
 	}
 	n.deps.Telemetry.Line("link to the owner", f)
 	n.events <- []cell.Event{cell.LinkChanged{Up: up}}
+	if !up {
+		// The stream tells whether the owner has given the cell up.
+		n.mu.Lock()
+		progress := n.following[store.Progress]
+		n.mu.Unlock()
+		if progress != nil {
+			progress.hurry()
+		}
+	}
 }
 
 func text(err error) string {
