Submissions over all partitions, and through the owner when the store is out of reach

Cause: the store appends to one partition at a time. An instance without the store refused too. Change: submissions are spread over the partitions, an append is sent again only after three times its usual time, and submissions go through the owner when the store does not answer here. A stop that was accepted is checked at once.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -33,9 +33,9 @@
 	case ConfigChanged:
 		c.configChanged(e.Config)
 	case JobAdded:
-		c.jobAdded(e.Job)
+		c.jobAdded(e.Job, e.Part)
 	case JobCancelled:
-		c.jobCancelled(e.ID)
+		c.jobCancelled(e.ID, e.Part)
 	case JobDropped:
 		c.jobDropped(e.ID)
 	case ProgressRead:
--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -41,6 +41,9 @@
 	// LeaseUntil is a time of the worker's clock; zero leaves the lease as it is.
 	LeaseUntil model.WorkerTime
 	Wait       time.Duration // the worker answers earlier if a run ends
+	// Peek marks a renewal beside the one that waits at the worker. It settles
+	// runs sooner.
+	Peek bool
 }
 
 // Start starts a run. It is answered by StartAnswered.
@@ -77,8 +80,13 @@
 	Cost    time.Duration // that the call is expected to take
 }
 
-// Forget removes the entries of a finished job from both streams.
-type Forget struct{ ID jobs.ID }
+// Forget removes the entries of a finished job from the submissions.
+type Forget struct {
+	ID         jobs.ID
+	Part       int
+	Cancelled  bool
+	CancelPart int
+}
 
 // RoleChanged says that this instance became, or stopped being, the owner.
 type RoleChanged struct {
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -14,10 +14,16 @@
 type ConfigChanged struct{ Config *jobs.Config }
 
 // JobAdded is a submission that the store has.
-type JobAdded struct{ Job jobs.Job }
+type JobAdded struct {
+	Job  jobs.Job
+	Part int // of the submissions that has it
+}
 
 // JobCancelled is a cancellation that the store has.
-type JobCancelled struct{ ID jobs.ID }
+type JobCancelled struct {
+	ID   jobs.ID
+	Part int // of the submissions that has it
+}
 
 // JobDropped is a job whose entries were removed after their retention.
 type JobDropped struct{ ID jobs.ID }
@@ -39,7 +45,8 @@
 	Records int
 }
 
-// SubmissionsRead says that a read of the submissions reached their end.
+// SubmissionsRead says that reads of all parts of the submissions reached
+// their ends. SentAt is when the first of these reads was sent.
 type SubmissionsRead struct{ SentAt model.Time }
 
 // WorkerListed is a worker's entry in the directory.
@@ -97,6 +104,7 @@
 	Clock   model.WorkerTime
 	Running []RunStatus
 	Ended   []RunEnd
+	Peek    bool // as in the Renew
 }
 
 // StartAnswered is the answer to a Start.
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -6,14 +6,17 @@
 )
 
 // jobAdded takes a submission from the store. A repeated one is the same job.
-func (c *Cell) jobAdded(s jobs.Job) {
+func (c *Cell) jobAdded(s jobs.Job, part int) {
 	if c.jobs[s.ID] != nil {
 		return
 	}
 	j := &job{
 		id: s.ID, queue: s.Queue, payload: s.Payload, schedule: s.Schedule, steps: s.Steps,
 		submitted: s.SubmittedMs, arrived: c.now, state: jobs.Queued, stored: jobs.Queued,
-		progress: c.early[s.ID], cancelled: c.cancels[s.ID],
+		progress: c.early[s.ID], part: part,
+	}
+	if at, ok := c.cancels[s.ID]; ok {
+		j.cancelled, j.cancelPart = true, at
 	}
 	delete(c.early, s.ID)
 	delete(c.cancels, s.ID)
@@ -28,16 +31,16 @@
 	c.activate(j)
 }
 
-func (c *Cell) jobCancelled(id jobs.ID) {
+func (c *Cell) jobCancelled(id jobs.ID, part int) {
 	j := c.jobs[id]
 	if j == nil {
-		c.cancels[id] = true
+		c.cancels[id] = part
 		return
 	}
 	if j.cancelled {
 		return
 	}
-	j.cancelled = true
+	j.cancelled, j.cancelPart = true, part
 	if c.settled {
 		c.cancelJob(j)
 	}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -156,6 +156,10 @@
 		in.states = append(in.states, jobState{job: j, state: j.state})
 		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(j.id), Value: jobs.Encode(p)})
 	}
+	for _, id := range c.forgotten {
+		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(id)})
+	}
+	c.forgotten = nil
 	for _, w := range c.list {
 		if w.seenEnd > w.durableEnd {
 			in.ends[w] = w.seenEnd
@@ -228,7 +232,8 @@
 	c.forgetAt = c.now
 	for _, j := range c.sortedJobs() {
 		if j.stored.Final() && !j.dirty && j.finished != 0 && c.unixMs-j.finished > c.cfg.Retention.Milliseconds() {
-			c.emit(Forget{ID: j.id})
+			c.emit(Forget{ID: j.id, Part: j.part, Cancelled: j.cancelled, CancelPart: j.cancelPart})
+			c.forgotten = append(c.forgotten, j.id)
 			delete(c.jobs, j.id)
 		}
 	}
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -138,6 +138,9 @@
 		// The worker has it stopped or barred. Its end, or a list without it,
 		// frees the room.
 		p.barred, p.confirmedAt = true, c.now
+		if w.fenced {
+			c.peek(w)
+		}
 	case Superseded:
 		c.reload("a worker has seen a higher epoch")
 	}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -30,7 +30,7 @@
 	lostAnswers float64 // share of appends whose answer is lost
 	lateOrders  float64 // share of orders that are not answered and done late
 	storeDown   bool
-	gone        int // workers that left for good
+	gone        int                  // workers that left for good
 	newest      map[jobs.ID]jobs.Job // submitted jobs
 }
 
@@ -302,7 +302,7 @@
 			reply(Claimed{Epoch: e.Claim.Epoch, SentAt: s.now, Won: ok})
 		})
 	case Renew:
-		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown}, s.now)
+		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, Peek: e.Peek}, s.now)
 	case Start:
 		n.order(life, e.Worker, func(w *simWorker) Event {
 			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e)}
@@ -392,10 +392,10 @@
 		}
 		answer := call(w)
 		if r, ok := answer.(Renewed); ok {
-			r.SentAt = none.(Renewed).SentAt
+			r.SentAt, r.Peek = none.(Renewed).SentAt, none.(Renewed).Peek
 			answer = r
 			// A renewal is answered when a run ends, or after its wait.
-			if len(r.Ended) == 0 && r.Verdict == Accepted {
+			if len(r.Ended) == 0 && r.Verdict == Accepted && !r.Peek {
 				w.waiting = append(w.waiting, func() {
 					if !w.up {
 						s.after(timeout, func() { n.send(life, none) })
@@ -418,7 +418,7 @@
 func (n *simNode) deliver(life int, w *simWorker, e Event) {
 	if n.away[w] {
 		if r, ok := e.(Renewed); ok {
-			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown}
+			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown, Peek: r.Peek}
 		}
 		n.s.after(300*time.Millisecond, func() { n.send(life, e) })
 		return
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -16,8 +16,8 @@
 	running   map[jobs.TaskRef]map[*simWorker]int // runs by worker
 	done      map[jobs.TaskRef]bool               // an end as done was acknowledged
 	doneAny   map[jobs.TaskRef]bool               // a run has ended as done
-	failures  map[jobs.TaskRef]int // that have happened
-	noted     map[jobs.TaskRef]int // failures that were acknowledged
+	failures  map[jobs.TaskRef]int                // that have happened
+	noted     map[jobs.TaskRef]int                // failures that were acknowledged
 	cancelled map[jobs.ID]model.Time
 	gangRuns  map[string]map[int]bool // members present of a gang's run
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -26,6 +26,9 @@
 	finished  int64 // Unix milliseconds of a final state
 	dirty     bool  // state is not in an append yet
 	progress  *jobs.Progress
+
+	part       int // of the submissions, that has the job
+	cancelPart int // of the submissions, that has its cancellation
 }
 
 // group is one step of one occurrence.
@@ -187,7 +190,7 @@
 	config  *jobs.Config
 	jobs    map[jobs.ID]*job
 	early   map[jobs.ID]*jobs.Progress // progress whose submission was not read yet
-	cancels map[jobs.ID]bool           // cancellations whose submission was not read yet
+	cancels map[jobs.ID]int            // parts of cancellations whose submission was not read yet
 	workers map[model.WorkerName]*worker
 	list    []*worker // all workers by name
 	health  *health.State
@@ -223,6 +226,7 @@
 	yielding  bool // gives the cell up, since another instance can serve it better
 	endsDirty bool // workers listed ends that are not in an append yet
 	forgetAt  model.Time
+	forgotten []jobs.ID // whose progress is to be removed by the next append
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
@@ -253,7 +257,7 @@
 		cfg:      cfg,
 		jobs:     map[jobs.ID]*job{},
 		early:    map[jobs.ID]*jobs.Progress{},
-		cancels:  map[jobs.ID]bool{},
+		cancels:  map[jobs.ID]int{},
 		workers:  map[model.WorkerName]*worker{},
 		advisors: map[string]*advisor{},
 		learned:  map[string]*queueStats{},
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -49,6 +49,11 @@
 	return true
 }
 
+// peek asks a worker for its runs without waiting for one to end.
+func (c *Cell) peek(w *worker) {
+	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, AckedEnd: w.durableEnd, Peek: true})
+}
+
 func (c *Cell) renew(w *worker) {
 	w.renewing, w.renewSent = true, c.now
 	r := Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, AckedEnd: w.durableEnd, LeaseUntil: c.leaseUntil(w)}
@@ -89,13 +94,18 @@
 	if w == nil {
 		return
 	}
-	w.renewing = false
+	if !e.Peek {
+		w.renewing = false
+	}
 	switch e.Verdict {
 	case Accepted:
 		c.workerAnswered(w, e)
 	case Superseded:
 		c.reload("a worker has seen a higher epoch")
 	default:
+		if e.Peek {
+			return
+		}
 		w.failedCalls++
 		w.renewFailed = c.now
 		if w.failedCalls == 1 {
@@ -185,7 +195,7 @@
 			c.runLost(p, "not at the worker")
 		case phaseRunning, phaseStopping:
 			// Only a list that was asked for after the confirmation tells.
-			if p.confirmedAt != 0 && e.SentAt > p.confirmedAt {
+			if p.confirmedAt != 0 && e.SentAt >= p.confirmedAt {
 				if p.unlisted++; p.unlisted >= 2 || p.phase == phaseStopping {
 					c.runLost(p, "not listed")
 				}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -30,7 +30,7 @@
 			go func() {
 				sent := n.deps.Now()
 				r := n.deps.Workers.Renew(l.ctx, e)
-				r.SentAt = sent
+				r.SentAt, r.Peek = sent, e.Peek
 				n.send(l, r)
 			}()
 		case cell.Start:
@@ -46,12 +46,14 @@
 		case cell.Ask:
 			go n.ask(l, e)
 		case cell.Forget:
-			go n.forget(l, e.ID)
+			go n.forget(l, e)
 		case cell.RoleChanged:
 			l.owner.Store(e.Owner)
 			if e.Owner {
 				n.client.Target("")
-				n.following[store.Submissions].hurry()
+				for _, f := range n.subs {
+					f.hurry()
+				}
 			} else {
 				n.dropPeers()
 			}
@@ -188,15 +190,16 @@
 
 // forget removes the entries of a finished job. What fails is tried again by
 // the next owner that loads the job.
-func (n *Node) forget(l *life, id jobs.ID) {
+func (n *Node) forget(l *life, f cell.Forget) {
 	ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
 	defer cancel()
-	for _, r := range []struct {
-		s   store.Stream
-		key string
-	}{{store.Submissions, jobs.CancelKey(id)}, {store.Submissions, jobs.JobKey(id)}} {
-		if _, err := n.deps.Store.Append(ctx, r.s, []store.Record{{Key: r.key}}, nil); err != nil {
-			n.deps.Telemetry.Line("entry not removed", LineFields{Subject: r.key, Reason: err.Error()})
+	remove := func(part int, key string) {
+		if _, err := n.deps.Store.Append(ctx, store.SubmissionsPart(part), []store.Record{{Key: key}}, nil); err != nil {
+			n.deps.Telemetry.Line("entry not removed", LineFields{Subject: key, Reason: err.Error()})
 		}
 	}
+	if f.Cancelled {
+		remove(f.CancelPart, jobs.CancelKey(f.ID))
+	}
+	remove(f.Part, jobs.JobKey(f.ID))
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -25,8 +25,8 @@
 	// It takes part in the time to a takeover.
 	standbyPause = 300 * time.Millisecond
 	// submissionsPause is the same for submissions. An instance that is asked
-	// for a job that it has not read yet reads at once.
-	submissionsPause = 600 * time.Millisecond
+	// for a job that it has not read yet, or takes the cell over, reads at once.
+	submissionsPause = 2 * time.Second
 	// ownerWait is the owner's long poll for submissions.
 	ownerWait = 500 * time.Millisecond
 	// ownerPause lets submissions that come together be read by one call.
@@ -252,7 +252,7 @@
 	}
 }
 
-func (n *Node) takeSubmission(l *life) func(store.Record) {
+func (n *Node) takeSubmission(l *life, part int) func(store.Record) {
 	return func(r store.Record) {
 		kind, id := jobs.ParseKey(r.Key)
 		switch {
@@ -264,9 +264,9 @@
 				n.deps.Telemetry.Line("submission unreadable", LineFields{Subject: r.Key, Reason: err.Error()})
 				return
 			}
-			n.send(l, cell.JobAdded{Job: j})
+			n.send(l, cell.JobAdded{Job: j, Part: part})
 		case kind == jobs.KindCancel && len(r.Value) > 0:
-			n.send(l, cell.JobCancelled{ID: id})
+			n.send(l, cell.JobCancelled{ID: id, Part: part})
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,11 +77,13 @@
 	workers map[model.WorkerName]jobs.WorkerInfo
 	peers   map[string]*link.Peer
 
-	config    atomic.Pointer[jobs.Config]
-	following [4]*follower // by stream
-	submits   *submitter
+	config   atomic.Pointer[jobs.Config]
+	subs     []*follower // by part of the submissions
+	progress *follower
+	submits  *submitter
 
 	draining atomic.Bool
+	latency  smoothed     // of appends
 	storeOK  atomic.Int64 // model.Time of the newest answer of the store
 }
 
@@ -120,10 +123,8 @@
 
 // Run runs the instance until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	n.following[store.Config] = newFollower(n, store.Config, configWait, 0, n.takeConfig)
-	n.following[store.Workers] = newFollower(n, store.Workers, 0, workersPause, n.takeWorker)
-	go n.following[store.Config].run(ctx)
-	go n.following[store.Workers].run(ctx)
+	go newFollower(n, store.Config, configWait, 0, n.takeConfig).run(ctx)
+	go newFollower(n, store.Workers, 0, workersPause, n.takeWorker).run(ctx)
 	go n.client.Run(ctx)
 	go n.tick(ctx)
 	n.restart(ctx)
@@ -201,34 +202,65 @@
 	}
 	n.mu.Unlock()
 	n.step(ctx, first)
-	subs := newFollower(n, store.Submissions, 0, submissionsPause, n.takeSubmission(l))
-	subs.owned = &l.owner
+	n.loadCell(l)
+}
+
+// loadCell begins to follow the cell's streams.
+func (n *Node) loadCell(l *life) {
+	reads := &partReads{sent: make([]model.Time, n.set.SubmissionStreams)}
+	subs := make([]*follower, n.set.SubmissionStreams)
+	for part := range subs {
+		f := newFollower(n, store.SubmissionsPart(part), 0, submissionsPause, n.takeSubmission(l, part))
+		f.owned = &l.owner
+		f.after = func(_ store.Batch, sentAt model.Time) {
+			if l.owner.Load() {
+				n.send(l, cell.SubmissionsRead{SentAt: reads.read(part, sentAt)})
+			}
+		}
+		subs[part] = f
+	}
 	progress := newFollower(n, store.Progress, 0, standbyPause, n.takeProgress(l))
-	n.mu.Lock()
-	n.following[store.Submissions], n.following[store.Progress] = subs, progress
-	n.mu.Unlock()
+	progress.paused = &l.owner
 	progress.after = func(b store.Batch, sentAt model.Time) {
 		if !l.owner.Load() {
 			n.send(l, cell.StreamRead{End: b.Next, SentAt: sentAt, Records: len(b.Records)})
 		}
 	}
-	progress.paused = &l.owner
-	subs.after = func(_ store.Batch, sentAt model.Time) {
-		if l.owner.Load() {
-			n.send(l, cell.SubmissionsRead{SentAt: sentAt})
-		}
-	}
+	n.mu.Lock()
+	n.subs, n.progress = subs, progress
+	n.mu.Unlock()
 	go func() {
 		// Submissions first: progress refers to them.
-		if subs.load(l.ctx) && progress.load(l.ctx) {
+		var parts sync.WaitGroup
+		for _, f := range subs {
+			parts.Go(func() { f.load(l.ctx) })
+		}
+		parts.Wait()
+		if l.ctx.Err() == nil && progress.load(l.ctx) {
 			l.loaded.Store(true)
-			n.deps.Telemetry.Line("cell loaded", LineFields{Count: int64(subs.next)})
-			go subs.follow(l.ctx)
+			n.deps.Telemetry.Line("cell loaded", LineFields{})
+			for _, f := range subs {
+				go f.follow(l.ctx)
+			}
 			progress.follow(l.ctx)
 		}
 	}()
 }
 
+// partReads notes when the newest complete read of each part was sent.
+type partReads struct {
+	mu   sync.Mutex
+	sent []model.Time
+}
+
+// read notes one read and returns the time of the oldest one.
+func (p *partReads) read(part int, sentAt model.Time) model.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[part] = sentAt
+	return slices.Min(p.sent)
+}
+
 func (n *Node) tick(ctx context.Context) {
 	t := time.NewTicker(cell.TickInterval)
 	defer t.Stop()
@@ -263,7 +295,7 @@
 	if !up {
 		// The stream tells whether the owner has given the cell up.
 		n.mu.Lock()
-		progress := n.following[store.Progress]
+		progress := n.progress
 		n.mu.Unlock()
 		if progress != nil {
 			progress.hurry()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/link"
@@ -125,17 +128,36 @@
 	}
 	unknown := Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: storeRetryAfter}}
 	n.mu.Lock()
-	l, subs := n.life, n.following[store.Submissions]
+	l, subs := n.life, n.subs
 	n.mu.Unlock()
 	if !l.loaded.Load() {
 		return cell.View{}, unknown
 	}
-	take := n.takeSubmission(l)
-	for from := subs.at.Load(); ; {
-		b, err := n.deps.Store.Read(ctx, store.Submissions, from, 0)
+	errs := make([]error, len(subs))
+	var parts sync.WaitGroup
+	for part, f := range subs {
+		parts.Go(func() { errs[part] = n.readJob(ctx, l, part, f.at.Load(), id) })
+	}
+	parts.Wait()
+	if err := errors.Join(errs...); err != nil {
+		n.deps.Telemetry.Line("lookup failed", LineFields{Subject: string(id), Reason: err.Error()})
+		return cell.View{}, unknown
+	}
+	n.settleEvents(ctx)
+	if v, known := n.view(id); known {
+		return v, Outcome{Kind: Done}
+	}
+	return cell.View{}, Outcome{Kind: NotFound}
+}
+
+// readJob reads one part of the submissions to its end and takes the entries of
+// one job.
+func (n *Node) readJob(ctx context.Context, l *life, part int, from int64, id jobs.ID) error {
+	take := n.takeSubmission(l, part)
+	for {
+		b, err := n.deps.Store.Read(ctx, store.SubmissionsPart(part), from, 0)
 		if err != nil {
-			n.deps.Telemetry.Line("lookup failed", LineFields{Subject: string(id), Reason: err.Error()})
-			return cell.View{}, unknown
+			return err
 		}
 		for _, r := range b.Records {
 			if _, of := jobs.ParseKey(r.Key); of == id {
@@ -143,14 +165,9 @@
 			}
 		}
 		if from = b.Next; from >= b.End {
-			break
+			return nil
 		}
 	}
-	n.settleEvents(ctx)
-	if v, known := n.view(id); known {
-		return v, Outcome{Kind: Done}
-	}
-	return cell.View{}, Outcome{Kind: NotFound}
 }
 
 // settleEvents waits until the reducer has taken every event queued so far.
@@ -190,8 +207,8 @@
 
 // Submit implements link.Handler. It never forwards again.
 func (p peers) Submit(ctx context.Context, r link.SubmitRequest) link.SubmitReply {
-	inDoubt, err := p.n.submits.store(ctx, r.Entries)
-	return link.SubmitReply{Stored: err == nil, InDoubt: inDoubt}
+	out := p.n.submits.direct(ctx, r.Entries)
+	return link.SubmitReply{Stored: out.stored, InDoubt: out.inDoubt}
 }
 
 // Ask implements link.Handler.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -21,6 +21,9 @@
 	StoreAddress       string // IP:port of the platform's store
 	EligibilityAddress string // IP:port of the eligibility service; empty: none
 
+	// SubmissionStreams is the number of streams that submissions are spread over.
+	SubmissionStreams int
+
 	Lease       time.Duration // longest lease that workers grant
 	Retention   time.Duration // how long a finished job's state is kept for callers
 	Grace       time.Duration // from SIGTERM to SIGKILL
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -2,20 +2,34 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/link"
+	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/store"
 )
 
 const (
-	// hedgeAfter is when an append without an answer is sent once more. The
-	// store answers in a few milliseconds; a lost answer must not cost the slack
-	// of urgent work. Repetitions are harmless: an owner's appends carry a
-	// sequence number, and a repeated submission is the same job.
-	hedgeAfter = 150 * time.Millisecond
+	// hedgeAfter is when an append without an answer is sent once more, at the
+	// earliest. The store answers in a few milliseconds; a lost answer must not
+	// cost the slack of urgent work. Repetitions are harmless: an owner's appends
+	// carry a sequence number, and a repeated submission is the same job.
+	hedgeAfter = 120 * time.Millisecond
+	// hedgeFactor times the usual time of an append is waited at least, since
+	// repetitions make a slow store slower.
+	hedgeFactor = 3
+	// latencyWeight is the weight of one append in the usual time.
+	latencyWeight = 0.3
+	// silentAfter is when a store without any answer counts as out of reach.
+	// Submissions then go through the owner first.
+	silentAfter = 600 * time.Millisecond
 	// appendTimeout bounds one attempt at an append. A slow store takes a
 	// fraction of a second.
 	appendTimeout = 3 * time.Second
@@ -27,7 +41,7 @@
 	forever = 0
 	// submitTries bounds the attempts at a submission that certainly failed.
 	// More of them would only delay the refusal.
-	submitTries = 3
+	submitTries = 2
 	// submitBatches bounds the appends of submissions in flight.
 	submitBatches = 2
 	// batchBytes bounds one append; the store takes up to 2 MiB a call.
@@ -51,12 +65,16 @@
 		go func() {
 			actx, done := context.WithTimeout(ctx, appendTimeout)
 			defer done()
+			sent := n.deps.Now()
 			_, err := n.deps.Store.Append(actx, s, records, f)
+			if err == nil {
+				n.latency.add(n.deps.Now().Sub(sent))
+			}
 			results <- err
 		}()
 	}
 	attempt()
-	timer := time.NewTimer(hedgeAfter)
+	timer := time.NewTimer(n.hedgeTime())
 	defer timer.Stop()
 	for {
 		select {
@@ -66,7 +84,7 @@
 			if open < maxOpen {
 				attempt()
 			}
-			timer.Reset(2 * hedgeAfter)
+			timer.Reset(2 * n.hedgeTime())
 		case err := <-results:
 			open--
 			if err == nil {
@@ -97,6 +115,22 @@
 	}
 }
 
+// hedgeTime returns how long an append may have no answer before it is sent
+// again.
+func (n *Node) hedgeTime() time.Duration {
+	return max(hedgeAfter, time.Duration(hedgeFactor*float64(n.latency.mean())))
+}
+
+// smoothed is a moving mean. It is safe for concurrent use.
+type smoothed struct{ bits atomic.Uint64 }
+
+func (s *smoothed) add(d time.Duration) {
+	old := math.Float64frombits(s.bits.Load())
+	s.bits.Store(math.Float64bits(old + latencyWeight*(float64(d)-old)))
+}
+
+func (s *smoothed) mean() time.Duration { return time.Duration(math.Float64frombits(s.bits.Load())) }
+
 // submission is an entry that waits for the store.
 type submission struct {
 	entry cell.Entry
@@ -106,14 +140,19 @@
 
 // submitter stores entries of callers, several in one append.
 type submitter struct {
-	n *Node
+	n      *Node
+	stream store.Stream // this instance's part of the submissions
 
 	mu      sync.Mutex
 	queue   []*submission
 	batches int
 }
 
-func newSubmitter(n *Node) *submitter { return &submitter{n: n} }
+func newSubmitter(n *Node) *submitter {
+	h := fnv.New32a()
+	h.Write([]byte(n.self))
+	return &submitter{n: n, stream: store.SubmissionsPart(int(h.Sum32()) % max(1, n.set.SubmissionStreams))}
+}
 
 // put stores an entry. If ctx ends first, the entry may still become stored,
 // unless it was not sent yet.
@@ -174,24 +213,7 @@
 	// doubt.
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
-	inDoubt, err := s.store(ctx, entries)
-	o := Outcome{Kind: Done}
-	if err != nil && !inDoubt {
-		stored, doubt := s.forward(ctx, entries)
-		switch {
-		case stored:
-			err = nil
-		case doubt:
-			inDoubt = true
-		}
-	}
-	switch {
-	case err == nil:
-	case inDoubt:
-		o = Outcome{Kind: InDoubt}
-	default:
-		o = refusedByStore()
-	}
+	o := s.settle(ctx, entries)
 	s.mu.Lock()
 	s.batches--
 	s.start()
@@ -201,24 +223,77 @@
 	}
 }
 
-// store appends entries to the submissions.
-func (s *submitter) store(ctx context.Context, entries []cell.Entry) (inDoubt bool, err error) {
+// result is the answer of one way to store entries.
+type result struct{ stored, inDoubt bool }
+
+// settle stores entries directly, through the owner, or both: through the owner
+// if the store is known to be out of reach here, if it refuses, or if it does
+// not answer in time. One success is enough.
+func (s *submitter) settle(ctx context.Context, entries []cell.Entry) Outcome {
+	results := make(chan result, 2)
+	direct := func() { results <- s.direct(ctx, entries) }
+	viaOwner := func() { results <- s.forward(ctx, entries) }
+	silent := s.n.deps.Now().Sub(model.Time(s.n.storeOK.Load())) > silentAfter
+	if silent {
+		go viaOwner()
+	} else {
+		go direct()
+	}
+	inDoubt, open, second := false, 1, false
+	begin := func() {
+		if second {
+			return
+		}
+		second = true
+		open++
+		if silent {
+			go direct()
+		} else {
+			go viaOwner()
+		}
+	}
+	timer := time.NewTimer(2 * s.n.hedgeTime())
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			begin()
+		case r := <-results:
+			if r.stored {
+				return Outcome{Kind: Done}
+			}
+			inDoubt = inDoubt || r.inDoubt
+			open--
+			begin()
+			if open == 0 {
+				if inDoubt {
+					return Outcome{Kind: InDoubt}
+				}
+				return refusedByStore()
+			}
+		}
+	}
+}
+
+// direct appends entries to this instance's part of the submissions.
+func (s *submitter) direct(ctx context.Context, entries []cell.Entry) result {
 	records := make([]store.Record, len(entries))
 	for i, e := range entries {
 		records[i] = store.Record{Key: e.Key, Value: e.Value}
 	}
-	return s.n.repeat(ctx, store.Submissions, records, nil, submitTries)
+	inDoubt, err := s.n.repeat(ctx, s.stream, records, nil, submitTries)
+	return result{stored: err == nil, inDoubt: inDoubt}
 }
 
-// forward asks the owner to store entries, since this instance can't.
-func (s *submitter) forward(ctx context.Context, entries []cell.Entry) (stored, inDoubt bool) {
+// forward asks the owner to store entries.
+func (s *submitter) forward(ctx context.Context, entries []cell.Entry) result {
 	reply, err := s.n.client.Submit(ctx, link.SubmitRequest{Entries: entries})
 	if err != nil {
 		s.n.deps.Telemetry.Line("submissions not forwarded", LineFields{Count: int64(len(entries)), Reason: err.Error()})
-		return false, err != link.ErrNoLink
+		return result{inDoubt: !errors.Is(err, link.ErrNoLink)}
 	}
 	s.n.deps.Telemetry.Line("submissions forwarded", LineFields{Count: int64(len(entries)), Outcome: storedText(reply)})
-	return reply.Stored, reply.InDoubt
+	return result{stored: reply.Stored, inDoubt: reply.InDoubt}
 }
 
 func storedText(r link.SubmitReply) string {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,14 +17,26 @@
 const (
 	Config      Stream = iota // the operator's configuration; read only
 	Workers                   // the directory of workers; read only
-	Submissions               // of one cell: jobs and cancellations
 	Progress                  // of one cell: what its owner has decided
+	Submissions               // of one cell: jobs and cancellations, first part
 )
 
-var streamNames = [...]string{"config", "workers", "submissions", "progress"}
+// SubmissionsPart returns one of the streams of submissions. The store appends
+// to one stream at a time, so that submissions are spread over several.
+func SubmissionsPart(part int) Stream { return Submissions + Stream(part) }
+
+// Part returns the number of a stream of submissions, and zero for others.
+func (s Stream) Part() int { return int(max(s-Submissions, 0)) }
+
+var streamNames = [...]string{"config", "workers", "progress", "submissions"}
 
 // String implements fmt.Stringer.
-func (s Stream) String() string { return streamNames[s] }
+func (s Stream) String() string {
+	if s >= Submissions {
+		return streamNames[Submissions] + "-" + strconv.Itoa(s.Part())
+	}
+	return streamNames[s]
+}
 
 // Record is one keyed record. An empty value removes the key.
 type Record struct {
