--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -44,6 +44,10 @@
 	// renewPause separates renewals while ends wait for the store, or after a
 	// renewal that failed.
 	renewPause = 300 * time.Millisecond
+	// placementLife bounds the age of a placement when its start is sent. An owner
+	// that was paused, or without the store, may have missed a cancellation, which
+	// must stop starts within 3 s.
+	placementLife = 1500 * time.Millisecond
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 400 * time.Millisecond
 	// forgetInterval is how often finished jobs are looked through.
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -17,6 +17,10 @@
 		c.dropUnsent(p, "no longer wanted")
 		return
 	}
+	if c.now.Sub(p.plannedAt) > placementLife {
+		c.dropUnsent(p, "placement too old")
+		return
+	}
 	perm, needed := g.permitAt(w), c.queueOf(g.job).Eligibility.Needed()
 	if needed && (perm.boot != w.boot || c.now >= perm.expires) {
 		c.dropUnsent(p, "permit expired")
