The owner stores submissions with its own appends

Cause: a submission took an append of its own, a read by the owner and a second append before its first start. With a slow store these took over a second, more than the slack of urgent work; refusals came from full partitions. Change: an instance hands a submission to the owner, which plans it at once and stores it with its own next append. The parts of the submissions are the way for instances without a link to an owner that can store.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -34,6 +34,10 @@
 		c.configChanged(e.Config)
 	case JobAdded:
 		c.jobAdded(e.Job, e.Part)
+	case JobOffered:
+		c.jobOffered(e)
+	case CancelOffered:
+		c.cancelOffered(e)
 	case JobCancelled:
 		c.jobCancelled(e.ID, e.Part)
 	case JobDropped:
--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -80,12 +80,17 @@
 	Cost    time.Duration // that the call is expected to take
 }
 
-// Forget removes the entries of a finished job from the submissions.
+// Forget removes an entry of a finished job from a part of the submissions.
 type Forget struct {
-	ID         jobs.ID
-	Part       int
-	Cancelled  bool
-	CancelPart int
+	Part int
+	Key  string
+}
+
+// OfferSettled says what became of an offer.
+type OfferSettled struct {
+	Ticket  uint64
+	Stored  bool
+	InDoubt bool // it may be or become stored; never set together with Stored
 }
 
 // RoleChanged says that this instance became, or stopped being, the owner.
@@ -131,15 +136,16 @@
 	Label string
 }
 
-func (Append) isEffect()      {}
-func (TryClaim) isEffect()    {}
-func (Renew) isEffect()       {}
-func (Start) isEffect()       {}
-func (Stop) isEffect()        {}
-func (Ask) isEffect()         {}
-func (Forget) isEffect()      {}
-func (RoleChanged) isEffect() {}
-func (Reload) isEffect()      {}
-func (Log) isEffect()         {}
-func (Observe) isEffect()     {}
-func (Count) isEffect()       {}
+func (Append) isEffect()       {}
+func (TryClaim) isEffect()     {}
+func (Renew) isEffect()        {}
+func (Start) isEffect()        {}
+func (Stop) isEffect()         {}
+func (Ask) isEffect()          {}
+func (Forget) isEffect()       {}
+func (OfferSettled) isEffect() {}
+func (RoleChanged) isEffect()  {}
+func (Reload) isEffect()       {}
+func (Log) isEffect()          {}
+func (Observe) isEffect()      {}
+func (Count) isEffect()        {}
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -25,6 +25,21 @@
 	Part int // of the submissions that has it
 }
 
+// JobOffered is a submission that the owner is asked to store. It is answered
+// by OfferSettled.
+type JobOffered struct {
+	Ticket uint64
+	Job    jobs.Job
+	Value  []byte // the stored form of the job
+}
+
+// CancelOffered is a cancellation that the owner is asked to store. It is
+// answered by OfferSettled.
+type CancelOffered struct {
+	Ticket uint64
+	ID     jobs.ID
+}
+
 // JobDropped is a job whose entries were removed after their retention.
 type JobDropped struct{ ID jobs.ID }
 
@@ -173,6 +188,8 @@
 func (ConfigChanged) isEvent()       {}
 func (JobAdded) isEvent()            {}
 func (JobCancelled) isEvent()        {}
+func (JobOffered) isEvent()          {}
+func (CancelOffered) isEvent()       {}
 func (JobDropped) isEvent()          {}
 func (ProgressRead) isEvent()        {}
 func (ClaimRead) isEvent()           {}
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -15,7 +15,7 @@
 )
 
 func newSim(seed uint64, nodes, workers int) *sim {
-	s := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), truth: newTruth(), newest: map[jobs.ID]jobs.Job{}}
+	s := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), truth: newTruth(), newest: map[jobs.ID]jobs.Job{}, offers: map[uint64]func(OfferSettled){}}
 	s.now = model.Time(time.Hour)
 	s.cfg = &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{Name: "urgent", Service: "svc", Priority: 0, MaxAttempts: 2, StretchX: 1.5, LatencyGoal: 250 * time.Millisecond,
@@ -56,13 +56,29 @@
 		j.Payload = "hopeless"
 	}
 	s.newest[id] = j
-	s.store.subs = append(s.store.subs, Entry{Key: jobs.JobKey(id), Value: jobs.Encode(j)})
+	s.hand(Entry{Key: jobs.JobKey(id), Value: jobs.Encode(j)})
 	return id
 }
 
 func (s *sim) cancel(id jobs.ID) {
-	s.truth.cancelled[id] = s.now
-	s.store.subs = append(s.store.subs, Entry{Key: jobs.CancelKey(id), Value: []byte("{}")})
+	s.hand(Entry{Key: jobs.CancelKey(id), Value: []byte("{}")})
+}
+
+// hand stores an entry through the owner or directly.
+func (s *sim) hand(e Entry) {
+	if s.rnd.IntN(3) > 0 {
+		s.offer(e)
+	} else {
+		s.store.subs = append(s.store.subs, e)
+		s.acknowledge(e)
+	}
+}
+
+// acknowledge notes a cancellation that the store has.
+func (s *sim) acknowledge(e Entry) {
+	if kind, id := jobs.ParseKey(e.Key); kind == jobs.KindCancel {
+		s.truth.cancelled[id] = s.now
+	}
 }
 
 // history plays jobs and faults, and returns what went wrong.
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -97,6 +97,7 @@
 	if c.role != roleOwner {
 		return
 	}
+	c.abandonOffers()
 	c.role, c.settled = roleFollower, false
 	c.log("cell lost", "", Fields{Epoch: c.epoch, Reason: reason, Age: c.now.Sub(c.evidence)})
 	c.emit(RoleChanged{Epoch: c.epoch})
@@ -116,6 +117,7 @@
 	c.inFlight = nil
 	c.evidence = max(c.evidence, e.SentAt)
 	c.observe("append_seconds", "", c.now.Sub(in.sentAt))
+	c.settleOffers(in)
 	for _, s := range in.states {
 		s.job.stored = s.state
 		if s.state.Final() && !s.job.dirty {
@@ -144,20 +146,20 @@
 		return
 	}
 	beat := c.now.Sub(c.lastSent) >= heartbeatInterval
-	if len(c.dirty) == 0 && len(c.planned) == 0 && !c.endsDirty && !beat && !c.wantsRelease() {
+	if len(c.dirty) == 0 && len(c.offered) == 0 && len(c.planned) == 0 && !c.endsDirty && !beat && !c.wantsRelease() {
 		return
 	}
 	c.commit++
 	in := &commit{number: c.commit, sentAt: c.now, ends: map[*worker]int64{}}
-	a := Append{Commit: c.commit, Epoch: c.epoch}
+	a := Append{Commit: c.commit, Epoch: c.epoch, Entries: c.takeOffers(in)}
 	for _, j := range c.dirty {
 		j.dirty = false
 		p := j.snapshot()
 		in.states = append(in.states, jobState{job: j, state: j.state})
 		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(j.id), Value: jobs.Encode(p)})
 	}
-	for _, id := range c.forgotten {
-		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(id)})
+	for _, key := range c.forgotten {
+		a.Entries = append(a.Entries, Entry{Key: key})
 	}
 	c.forgotten = nil
 	for _, w := range c.list {
@@ -232,9 +234,24 @@
 	c.forgetAt = c.now
 	for _, j := range c.sortedJobs() {
 		if j.stored.Final() && !j.dirty && j.finished != 0 && c.unixMs-j.finished > c.cfg.Retention.Milliseconds() {
-			c.emit(Forget{ID: j.id, Part: j.part, Cancelled: j.cancelled, CancelPart: j.cancelPart})
-			c.forgotten = append(c.forgotten, j.id)
-			delete(c.jobs, j.id)
+			c.forget(j)
 		}
 	}
 }
+
+// forget removes everything of a job. What the progress stream has goes with
+// the next append.
+func (c *Cell) forget(j *job) {
+	c.forgotten = append(c.forgotten, jobs.ProgressKey(j.id))
+	if j.part == InProgress {
+		c.forgotten = append(c.forgotten, jobs.JobKey(j.id))
+	} else {
+		c.emit(Forget{Part: j.part, Key: jobs.JobKey(j.id)})
+	}
+	if j.cancelled && j.cancelPart == InProgress {
+		c.forgotten = append(c.forgotten, jobs.CancelKey(j.id))
+	} else if j.cancelled {
+		c.emit(Forget{Part: j.cancelPart, Key: jobs.CancelKey(j.id)})
+	}
+	delete(c.jobs, j.id)
+}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -32,6 +32,8 @@
 	storeDown   bool
 	gone        int                  // workers that left for good
 	newest      map[jobs.ID]jobs.Job // submitted jobs
+	tickets     uint64
+	offers      map[uint64]func(OfferSettled)
 }
 
 const simLease = 6 * time.Second
@@ -321,6 +323,11 @@
 			}
 			n.send(life, a)
 		})
+	case OfferSettled:
+		if call := s.offers[e.Ticket]; call != nil {
+			delete(s.offers, e.Ticket)
+			s.after(s.latency(), func() { call(e) })
+		}
 	case RoleChanged:
 		n.owner = e.Owner
 	case Reload:
@@ -426,6 +433,44 @@
 	n.send(life, e)
 }
 
+// offer asks the owner, if there is one, to store an entry. Whatever it does not
+// confirm within a while is stored directly.
+func (s *sim) offer(e Entry) {
+	direct := func() {
+		s.store.subs = append(s.store.subs, e)
+		s.acknowledge(e)
+	}
+	s.tickets++
+	ticket := s.tickets
+	s.offers[ticket] = func(o OfferSettled) {
+		if !o.Stored {
+			direct()
+			return
+		}
+		s.acknowledge(e)
+	}
+	s.after(time.Second, func() {
+		if s.offers[ticket] != nil {
+			delete(s.offers, ticket)
+			direct()
+		}
+	})
+	for _, n := range s.nodes {
+		if n.owner && n.alive {
+			var offered Event
+			switch kind, id := jobs.ParseKey(e.Key); kind {
+			case jobs.KindJob:
+				offered = JobOffered{Ticket: ticket, Job: s.newest[id], Value: e.Value}
+			case jobs.KindCancel:
+				offered = CancelOffered{Ticket: ticket, ID: id}
+			}
+			life := n.life
+			s.after(s.latency(), func() { n.send(life, offered) })
+			return
+		}
+	}
+}
+
 func (n *simNode) kill() {
 	n.alive, n.owner = false, false
 	n.life++
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -27,10 +27,18 @@
 	dirty     bool  // state is not in an append yet
 	progress  *jobs.Progress
 
-	part       int // of the submissions, that has the job
-	cancelPart int // of the submissions, that has its cancellation
+	// part of the submissions has the job, and cancelPart its cancellation;
+	// InProgress if the progress stream has it.
+	part       int
+	cancelPart int
+	offers     []uint64 // that wait for the job to be stored
+	unstored   bool     // offered, and in no stream yet
 }
 
+// InProgress stands for the progress stream in the place of a part of the
+// submissions.
+const InProgress = -1
+
 // group is one step of one occurrence.
 type group struct {
 	job        *job
@@ -218,7 +226,10 @@
 	resort    bool
 	rankedAt  model.Time
 	dirty     []*job
-	commit    uint64 // number of the append in flight, or of the last one
+	offered   []Entry  // submissions and cancellations for the next append
+	offers    []uint64 // tickets of offered
+	newJobs   []*job   // among offered
+	commit    uint64   // number of the append in flight, or of the last one
 	inFlight  *commit
 	lastSent  model.Time
 	planned   []*placement // to be in the next append
@@ -226,7 +237,7 @@
 	yielding  bool // gives the cell up, since another instance can serve it better
 	endsDirty bool // workers listed ends that are not in an append yet
 	forgetAt  model.Time
-	forgotten []jobs.ID // whose progress is to be removed by the next append
+	forgotten []string // keys that the next append removes
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
@@ -238,6 +249,8 @@
 // commit is an append in flight.
 type commit struct {
 	number  uint64
+	offers  []uint64
+	stored  []*job // that were offered
 	sentAt  model.Time
 	planned []*placement
 	states  []jobState
@@ -275,7 +288,7 @@
 // Job returns the stored state of a job.
 func (c *Cell) Job(id jobs.ID) (View, bool) {
 	j := c.jobs[id]
-	if j == nil {
+	if j == nil || j.unstored {
 		return View{}, false
 	}
 	v := View{State: j.stored, Queue: j.queue, Cancelled: j.cancelled}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -62,9 +62,9 @@
 	State jobs.State `json:"state,omitempty"`
 }
 
-// SubmitRequest asks the owner to store entries of the submissions stream.
+// SubmitRequest asks the owner to store a submission or a cancellation.
 type SubmitRequest struct {
-	Entries []cell.Entry `json:"entries"`
+	Entry cell.Entry `json:"entry"`
 }
 
 // SubmitReply says what became of a SubmitRequest.
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -45,6 +45,8 @@
 			}()
 		case cell.Ask:
 			go n.ask(l, e)
+		case cell.OfferSettled:
+			n.offers.settle(e)
 		case cell.Forget:
 			go n.forget(l, e)
 		case cell.RoleChanged:
@@ -188,18 +190,12 @@
 	})
 }
 
-// forget removes the entries of a finished job. What fails is tried again by
-// the next owner that loads the job.
+// forget removes an entry of a finished job. If it fails, the next owner that
+// loads the job tries again.
 func (n *Node) forget(l *life, f cell.Forget) {
 	ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
 	defer cancel()
-	remove := func(part int, key string) {
-		if _, err := n.deps.Store.Append(ctx, store.SubmissionsPart(part), []store.Record{{Key: key}}, nil); err != nil {
-			n.deps.Telemetry.Line("entry not removed", LineFields{Subject: key, Reason: err.Error()})
-		}
-	}
-	if f.Cancelled {
-		remove(f.CancelPart, jobs.CancelKey(f.ID))
+	if _, err := n.deps.Store.Append(ctx, store.SubmissionsPart(f.Part), []store.Record{{Key: f.Key}}, nil); err != nil {
+		n.deps.Telemetry.Line("entry not removed", LineFields{Subject: f.Key, Reason: err.Error()})
 	}
-	remove(f.Part, jobs.JobKey(f.ID))
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -272,11 +272,17 @@
 }
 
 func (n *Node) takeProgress(l *life) func(store.Record) {
+	submission := n.takeSubmission(l, cell.InProgress)
 	return func(r store.Record) {
+		kind, id := jobs.ParseKey(r.Key)
+		if kind == jobs.KindJob || kind == jobs.KindCancel {
+			submission(r)
+			return
+		}
 		if len(r.Value) == 0 {
 			return
 		}
-		switch kind, id := jobs.ParseKey(r.Key); kind {
+		switch kind {
 		case jobs.KindOwner:
 			claim, err := jobs.Decode[jobs.Claim](r.Key, r.Value)
 			if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	subs     []*follower // by part of the submissions
 	progress *follower
 	submits  *submitter
+	offers   offers
 
 	draining atomic.Bool
 	latency  smoothed     // of appends
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -207,7 +207,9 @@
 
 // Submit implements link.Handler. It never forwards again.
 func (p peers) Submit(ctx context.Context, r link.SubmitRequest) link.SubmitReply {
-	out := p.n.submits.direct(ctx, r.Entries)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	out := p.n.offer(ctx, r.Entry)
 	return link.SubmitReply{Stored: out.stored, InDoubt: out.inDoubt}
 }
 
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -12,7 +12,6 @@
 
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/link"
-	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/store"
 )
 
@@ -27,9 +26,9 @@
 	hedgeFactor = 3
 	// latencyWeight is the weight of one append in the usual time.
 	latencyWeight = 0.3
-	// silentAfter is when a store without any answer counts as out of reach.
-	// Submissions then go through the owner first.
-	silentAfter = 600 * time.Millisecond
+	// ownerPatience is how long the owner may take to store a submission before
+	// the instance stores it itself as well.
+	ownerPatience = 300 * time.Millisecond
 	// appendTimeout bounds one attempt at an append. A slow store takes a
 	// fraction of a second.
 	appendTimeout = 3 * time.Second
@@ -43,7 +42,7 @@
 	// More of them would only delay the refusal.
 	submitTries = 2
 	// submitBatches bounds the appends of submissions in flight.
-	submitBatches = 2
+	submitBatches = 1
 	// batchBytes bounds one append; the store takes up to 2 MiB a call.
 	batchBytes = 1 << 20
 	// storeRetryAfter is when a caller should come back that was refused for
@@ -134,11 +133,11 @@
 // submission is an entry that waits for the store.
 type submission struct {
 	entry cell.Entry
-	done  chan Outcome // has room for the one outcome
-	taken bool         // part of an append; guarded by the submitter
+	done  chan result // has room for the one result
 }
 
-// submitter stores entries of callers, several in one append.
+// submitter stores entries of callers: through the owner, which stores them
+// with its own next append, or directly, several in one append.
 type submitter struct {
 	n      *Node
 	stream store.Stream // this instance's part of the submissions
@@ -151,33 +150,90 @@
 func newSubmitter(n *Node) *submitter {
 	h := fnv.New32a()
 	h.Write([]byte(n.self))
-	return &submitter{n: n, stream: store.SubmissionsPart(int(h.Sum32()) % max(1, n.set.SubmissionStreams))}
+	return &submitter{n: n, stream: store.SubmissionsPart(int(h.Sum32() % uint32(max(1, n.set.SubmissionStreams))))}
 }
 
-// put stores an entry. If ctx ends first, the entry may still become stored,
-// unless it was not sent yet.
+// result is the answer of one way to store an entry.
+type result struct{ stored, inDoubt bool }
+
+// put stores an entry through the owner, and directly if there is no link, the
+// owner refuses, or it does not answer in time. One success is enough; the
+// entry is the same either way.
 func (s *submitter) put(ctx context.Context, e cell.Entry) Outcome {
-	sub := &submission{entry: e, done: make(chan Outcome, 1)}
+	results := make(chan result, 2)
+	go func() { results <- s.viaOwner(ctx, e) }()
+	inDoubt, open, direct := false, 1, false
+	begin := func() {
+		if !direct {
+			direct = true
+			open++
+			go func() { results <- s.direct(ctx, e) }()
+		}
+	}
+	patience := time.NewTimer(max(ownerPatience, s.n.hedgeTime()))
+	defer patience.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return Outcome{Kind: InDoubt}
+		case <-patience.C:
+			begin()
+		case r := <-results:
+			if r.stored {
+				return Outcome{Kind: Done}
+			}
+			inDoubt = inDoubt || r.inDoubt
+			open--
+			begin()
+			if open > 0 {
+				continue
+			}
+			if inDoubt {
+				return Outcome{Kind: InDoubt}
+			}
+			return refusedByStore()
+		}
+	}
+}
+
+func refusedByStore() Outcome {
+	return Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: storeRetryAfter}}
+}
+
+// viaOwner asks the owner to store an entry.
+func (s *submitter) viaOwner(ctx context.Context, e cell.Entry) result {
+	if s.n.owns() {
+		return s.n.offer(ctx, e)
+	}
+	sent := s.n.deps.Now()
+	reply, err := s.n.client.Submit(ctx, link.SubmitRequest{Entry: e})
+	if err == nil {
+		if reply.Stored {
+			s.n.latency.add(s.n.deps.Now().Sub(sent))
+		}
+		return result{stored: reply.Stored, inDoubt: reply.InDoubt}
+	}
+	if errors.Is(err, link.ErrNoLink) {
+		return result{}
+	}
+	s.n.deps.Telemetry.Line("submission not forwarded", LineFields{Subject: e.Key, Reason: err.Error()})
+	return result{inDoubt: true}
+}
+
+// direct stores an entry with this instance's next append to its part of the
+// submissions.
+func (s *submitter) direct(ctx context.Context, e cell.Entry) result {
+	sub := &submission{entry: e, done: make(chan result, 1)}
 	s.mu.Lock()
 	s.queue = append(s.queue, sub)
 	s.start()
 	s.mu.Unlock()
 	select {
-	case o := <-sub.done:
-		return o
+	case r := <-sub.done:
+		return r
 	case <-ctx.Done():
+		return result{inDoubt: true}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !sub.taken {
-		sub.taken = true
-		return refusedByStore()
-	}
-	return Outcome{Kind: InDoubt}
-}
-
-func refusedByStore() Outcome {
-	return Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: storeRetryAfter}}
 }
 
 // start begins an append if there is something to do. The caller holds mu.
@@ -186,122 +242,29 @@
 		return
 	}
 	var batch []*submission
-	size := 0
-	for len(s.queue) > 0 && size < batchBytes {
-		sub := s.queue[0]
-		s.queue = s.queue[1:]
-		if sub.taken {
-			continue // its caller has given up
-		}
-		sub.taken = true
-		size += len(sub.entry.Value)
-		batch = append(batch, sub)
-	}
-	if len(batch) == 0 {
-		return
+	for size := 0; len(s.queue) > 0 && size < batchBytes; s.queue = s.queue[1:] {
+		size += len(s.queue[0].entry.Value)
+		batch = append(batch, s.queue[0])
 	}
 	s.batches++
 	go s.send(batch)
 }
 
 func (s *submitter) send(batch []*submission) {
-	entries := make([]cell.Entry, len(batch))
+	records := make([]store.Record, len(batch))
 	for i, sub := range batch {
-		entries[i] = sub.entry
+		records[i] = store.Record{Key: sub.entry.Key, Value: sub.entry.Value}
 	}
 	// The callers' own deadlines are no longer; what is not stored by then is in
 	// doubt.
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
-	o := s.settle(ctx, entries)
+	inDoubt, err := s.n.repeat(ctx, s.stream, records, nil, submitTries)
 	s.mu.Lock()
 	s.batches--
 	s.start()
 	s.mu.Unlock()
 	for _, sub := range batch {
-		sub.done <- o
-	}
-}
-
-// result is the answer of one way to store entries.
-type result struct{ stored, inDoubt bool }
-
-// settle stores entries directly, through the owner, or both: through the owner
-// if the store is known to be out of reach here, if it refuses, or if it does
-// not answer in time. One success is enough.
-func (s *submitter) settle(ctx context.Context, entries []cell.Entry) Outcome {
-	results := make(chan result, 2)
-	direct := func() { results <- s.direct(ctx, entries) }
-	viaOwner := func() { results <- s.forward(ctx, entries) }
-	silent := s.n.deps.Now().Sub(model.Time(s.n.storeOK.Load())) > silentAfter
-	if silent {
-		go viaOwner()
-	} else {
-		go direct()
-	}
-	inDoubt, open, second := false, 1, false
-	begin := func() {
-		if second {
-			return
-		}
-		second = true
-		open++
-		if silent {
-			go direct()
-		} else {
-			go viaOwner()
-		}
-	}
-	timer := time.NewTimer(2 * s.n.hedgeTime())
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			begin()
-		case r := <-results:
-			if r.stored {
-				return Outcome{Kind: Done}
-			}
-			inDoubt = inDoubt || r.inDoubt
-			open--
-			begin()
-			if open == 0 {
-				if inDoubt {
-					return Outcome{Kind: InDoubt}
-				}
-				return refusedByStore()
-			}
-		}
-	}
-}
-
-// direct appends entries to this instance's part of the submissions.
-func (s *submitter) direct(ctx context.Context, entries []cell.Entry) result {
-	records := make([]store.Record, len(entries))
-	for i, e := range entries {
-		records[i] = store.Record{Key: e.Key, Value: e.Value}
-	}
-	inDoubt, err := s.n.repeat(ctx, s.stream, records, nil, submitTries)
-	return result{stored: err == nil, inDoubt: inDoubt}
-}
-
-// forward asks the owner to store entries.
-func (s *submitter) forward(ctx context.Context, entries []cell.Entry) result {
-	reply, err := s.n.client.Submit(ctx, link.SubmitRequest{Entries: entries})
-	if err != nil {
-		s.n.deps.Telemetry.Line("submissions not forwarded", LineFields{Count: int64(len(entries)), Reason: err.Error()})
-		return result{inDoubt: !errors.Is(err, link.ErrNoLink)}
-	}
-	s.n.deps.Telemetry.Line("submissions forwarded", LineFields{Count: int64(len(entries)), Outcome: storedText(reply)})
-	return result{stored: reply.Stored, inDoubt: reply.InDoubt}
-}
-
-func storedText(r link.SubmitReply) string {
-	switch {
-	case r.Stored:
-		return "stored"
-	case r.InDoubt:
-		return "in doubt"
+		sub.done <- result{stored: err == nil, inDoubt: inDoubt}
 	}
-	return "not stored"
 }
