Refuse at once what the store can't take; histories with a store that refuses

Histories then found: an answer of an earlier life of a worker counted as a new restart; an append under way while a worker restarted acknowledged ends of the new life unseen; a refused job's state was still written; a refused offer that its instance had stored directly was forgotten. Change: an append that was certainly not done is taken back and its offers are refused; offers behind an append without an answer are refused; Retry-After follows the length of the outage. Answers of workers are taken in the order of the worker's clock, and ends are acknowledged for one life only.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -132,6 +132,65 @@
 	is.Equal(s.wrong, nil)
 }
 
+// A store that refuses appends left every submission in doubt until its
+// deadline, after which callers may not try again.
+func TestOffersAreRefusedWhileStoreIsOut(t *testing.T) {
+	for name, out := range map[string]func(s *sim){
+		"busy":   func(s *sim) { s.storeBusy = true },
+		"silent": func(s *sim) { s.storeDown = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, n := owned(t, 1, 2)
+			out(s)
+			s.run(800 * time.Millisecond) // the heartbeat has no answer
+			j := jobs.Job{ID: "00000000000000ab", Queue: "urgent", Steps: []jobs.Step{{Tasks: 1, Need: cores(1), EstimateMs: 300}}}
+			s.newest[j.ID] = j
+			var got *OfferSettled
+			s.offers[1] = func(o OfferSettled) { got = &o }
+			n.send(n.life, JobOffered{Ticket: 1, Job: j, Value: jobs.Encode(j)})
+			s.run(100 * time.Millisecond)
+			is.True(got != nil && !got.Stored && !got.InDoubt)
+			s.storeBusy, s.storeDown = false, false
+			s.run(5 * time.Second)
+			_, known := n.cell.Job(j.ID)
+			is.True(!known) // refused is refused
+			is.Equal(s.wrong, nil)
+		})
+	}
+}
+
+// An append that was under way while a worker started again made the owner
+// acknowledge the ends of the new life by the numbers of the old one, unseen.
+func TestRestartedWorkerCountsItsEndsAnew(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	w := n.cell.list[0]
+	w.seenEnd = 24
+	n.cell.inFlight = &commit{number: 99, sentAt: s.now, ends: map[*worker]endMark{w: {boot: w.boot, seq: 24}}}
+	n.cell.workerReborn(w)
+	w.boot++
+	n.cell.appended(Appended{Commit: 99, SentAt: s.now})
+	is.Equal(w.durableEnd, int64(0))
+}
+
+// A submission that the owner was about to refuse, and that its instance had
+// stored itself meanwhile, was forgotten.
+func TestRefusedOfferThatWasStoredDirectly(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 2)
+	s.storeBusy = true
+	j := jobs.Job{ID: "00000000000000ac", Queue: "urgent", Steps: []jobs.Step{{Tasks: 1, Need: cores(1), EstimateMs: 300}}}
+	s.newest[j.ID] = j
+	n.send(n.life, JobOffered{Ticket: 1, Job: j, Value: jobs.Encode(j)})
+	s.store.subs = append(s.store.subs, Entry{Key: jobs.JobKey(j.ID), Value: jobs.Encode(j)})
+	s.run(time.Second)
+	s.storeBusy = false
+	s.run(10 * time.Second)
+	v, _ := n.cell.Job(j.ID)
+	is.Equal(v.State, jobs.Completed)
+}
+
 // Two instances that claimed at the same end of the stream must not both win.
 func TestOneClaimWins(t *testing.T) {
 	is := is.New(t)
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -48,6 +48,10 @@
 	// that was paused, or without the store, may have missed a cancellation, which
 	// must stop starts within 3 s.
 	placementLife = 1500 * time.Millisecond
+	// refusedRetry is the pause after an append that the store refused.
+	refusedRetry = 50 * time.Millisecond
+	// appendWeight is the number of appends over which their time is smoothed.
+	appendWeight = 4
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 400 * time.Millisecond
 	// forgetInterval is how often finished jobs are looked through.
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -161,6 +161,9 @@
 	Commit uint64
 	SentAt model.Time
 	Fenced bool // another owner has a higher epoch
+	// Refused says that the store has certainly not done it and never will. Its
+	// sequence number is free.
+	Refused bool
 }
 
 // Claimed is the answer to a TryClaim.
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -1,22 +1,27 @@
 package cell
 
 import (
+	"slices"
+
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
 // jobAdded takes a submission from the store. A repeated one is the same job.
 func (c *Cell) jobAdded(s jobs.Job, part int) {
-	if c.jobs[s.ID] != nil {
+	if j := c.jobs[s.ID]; j != nil {
+		// A copy in any stream is enough, and each is removed in the end.
+		j.unstored = false
+		j.parts = addPart(j.parts, part)
 		return
 	}
 	j := &job{
 		id: s.ID, queue: s.Queue, payload: s.Payload, schedule: s.Schedule, steps: s.Steps,
 		submitted: s.SubmittedMs, arrived: c.now, state: jobs.Queued, stored: jobs.Queued,
-		progress: c.early[s.ID], part: part,
+		progress: c.early[s.ID], parts: []int{part},
 	}
 	if at, ok := c.cancels[s.ID]; ok {
-		j.cancelled, j.cancelPart = true, at
+		j.cancelled, j.cancelParts = true, at
 	}
 	delete(c.early, s.ID)
 	delete(c.cancels, s.ID)
@@ -34,18 +39,26 @@
 func (c *Cell) jobCancelled(id jobs.ID, part int) {
 	j := c.jobs[id]
 	if j == nil {
-		c.cancels[id] = part
+		c.cancels[id] = addPart(c.cancels[id], part)
 		return
 	}
+	j.cancelParts = addPart(j.cancelParts, part)
 	if j.cancelled {
 		return
 	}
-	j.cancelled, j.cancelPart = true, part
+	j.cancelled = true
 	if c.settled {
 		c.cancelJob(j)
 	}
 }
 
+func addPart(parts []int, part int) []int {
+	if slices.Contains(parts, part) {
+		return parts
+	}
+	return append(parts, part)
+}
+
 func (c *Cell) jobDropped(id jobs.ID) {
 	if j := c.jobs[id]; j != nil && j.state.Final() {
 		delete(c.jobs, id)
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -98,7 +98,7 @@
 		s.after(time.Duration(s.rnd.Int64N(int64(span))), s.fault)
 	}
 	s.run(span)
-	s.lateOrders, s.lostAnswers, s.storeDown = 0, 0, false
+	s.lateOrders, s.lostAnswers, s.storeDown, s.storeBusy = 0, 0, false, false
 	for _, n := range s.nodes {
 		n.cut = false
 		clear(n.away)
@@ -121,7 +121,10 @@
 	}
 	w := s.workers[s.rnd.IntN(len(s.workers))]
 	d := 200*time.Millisecond + time.Duration(s.rnd.Int64N(int64(8*time.Second)))
-	switch s.rnd.IntN(11) {
+	switch s.rnd.IntN(12) {
+	case 11:
+		s.storeBusy = true
+		s.after(d, func() { s.storeBusy = false })
 	case 10:
 		if len(s.workers)-s.gone > 5 && w.up {
 			s.gone++
--- a/internal/cell/offers.go
+++ b/internal/cell/offers.go
@@ -1,7 +1,10 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/policy/admission"
 )
 
 // jobOffered takes a submission from an instance. The job is planned at once;
@@ -30,7 +33,7 @@
 
 func (c *Cell) cancelOffered(e CancelOffered) {
 	j := c.jobs[e.ID]
-	if !c.takesOffers() || j == nil {
+	if !c.takesOffers() || j == nil || j.unstored {
 		c.emit(OfferSettled{Ticket: e.Ticket})
 		return
 	}
@@ -38,20 +41,75 @@
 		c.emit(OfferSettled{Ticket: e.Ticket, Stored: true})
 		return
 	}
-	c.jobCancelled(e.ID, InProgress)
+	if !j.cancelled {
+		// The runs are stopped when the store has the cancellation: until then it
+		// can still be refused.
+		c.cancelled = append(c.cancelled, j)
+	}
 	c.offers = append(c.offers, e.Ticket)
 	c.offered = append(c.offered, Entry{Key: jobs.CancelKey(e.ID), Value: []byte("{}")})
 }
 
 func (c *Cell) takesOffers() bool {
-	return c.role == roleOwner && c.settled && !c.released && !c.wantsRelease()
+	return c.role == roleOwner && c.settled && !c.released && !c.wantsRelease() && c.storeAccepts()
+}
+
+// storeAccepts reports whether an offer can be stored before its caller gives up.
+func (c *Cell) storeAccepts() bool {
+	pending := time.Duration(0)
+	if c.inFlight != nil {
+		pending = c.now.Sub(c.inFlight.sentAt)
+	}
+	return admission.Accepts(pending, c.usualAppend, c.storeRefuses)
+}
+
+// refuseLateOffers refuses the offers that wait behind an append without an
+// answer.
+func (c *Cell) refuseLateOffers() {
+	if len(c.offered) == 0 || c.storeAccepts() {
+		return
+	}
+	c.log("offers refused", "", Fields{Count: len(c.offered), Age: c.now.Sub(c.inFlight.sentAt), Reason: "the store does not answer"})
+	c.refuseOffers(c.newJobs, c.offers)
+	c.offers, c.newJobs, c.offered, c.cancelled = nil, nil, nil, nil
+}
+
+// refuseOffers answers offers that are certainly in no stream, and drops their
+// jobs.
+func (c *Cell) refuseOffers(added []*job, offers []uint64) {
+	for _, j := range added {
+		for _, t := range j.offers {
+			// Its instance may have stored it directly meanwhile.
+			c.emit(OfferSettled{Ticket: t, Stored: !j.unstored})
+		}
+		j.offers = nil
+		if j.unstored {
+			c.dropUnstored(j)
+		}
+	}
+	for _, t := range offers {
+		c.emit(OfferSettled{Ticket: t})
+	}
+}
+
+// dropUnstored forgets a job that no stream has. Nothing of it was started.
+func (c *Cell) dropUnstored(j *job) {
+	j.state = jobs.Cancelled
+	for _, g := range j.groups {
+		for i := range g.tasks {
+			if p := g.tasks[i].placement; p != nil {
+				c.removePlacement(p)
+			}
+		}
+	}
+	delete(c.jobs, j.id)
 }
 
 // takeOffers moves the offers into an append.
 func (c *Cell) takeOffers(in *commit) []Entry {
-	in.offers, in.stored = c.offers, c.newJobs
+	in.offers, in.stored, in.cancels = c.offers, c.newJobs, c.cancelled
 	out := c.offered
-	c.offers, c.newJobs, c.offered = nil, nil, nil
+	c.offers, c.newJobs, c.offered, c.cancelled = nil, nil, nil, nil
 	return out
 }
 
@@ -63,6 +121,9 @@
 		}
 		j.unstored, j.offers = false, nil
 	}
+	for _, j := range in.cancels {
+		c.jobCancelled(j.id, InProgress)
+	}
 	for _, t := range in.offers {
 		c.emit(OfferSettled{Ticket: t, Stored: true})
 	}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -115,6 +115,12 @@
 		return
 	}
 	c.inFlight = nil
+	if e.Refused {
+		c.takeBack(in)
+		return
+	}
+	c.storeRefuses = false
+	c.usualAppend += (c.now.Sub(in.sentAt) - c.usualAppend) / appendWeight
 	c.evidence = max(c.evidence, e.SentAt)
 	c.observe("append_seconds", "", c.now.Sub(in.sentAt))
 	c.settleOffers(in)
@@ -124,8 +130,11 @@
 			s.job.releaseIfOver()
 		}
 	}
-	for w, seq := range in.ends {
-		w.durableEnd = max(w.durableEnd, seq)
+	for w, e := range in.ends {
+		// A worker that has started again counts its ends anew.
+		if e.boot == w.boot {
+			w.durableEnd = max(w.durableEnd, e.seq)
+		}
 	}
 	if in.release {
 		c.role, c.settled, c.yielded = roleFollower, false, c.now
@@ -140,9 +149,35 @@
 	}
 }
 
+// takeBack makes what a refused append would have stored part of the next one.
+// Offers are refused instead, which is certain now.
+func (c *Cell) takeBack(in *commit) {
+	if !c.storeRefuses {
+		c.log("store refuses appends", "", Fields{Epoch: c.epoch, Age: c.now.Sub(c.evidence)})
+	}
+	c.storeRefuses = true
+	c.commit--
+	c.refuseOffers(in.stored, in.offers)
+	for _, s := range in.states {
+		if c.jobs[s.job.id] == s.job {
+			c.markDirty(s.job)
+		}
+	}
+	c.planned = append(in.planned, c.planned...)
+	c.forgotten = append(in.forgotten, c.forgotten...)
+	c.endsDirty = true
+	if in.release {
+		c.released = false
+	}
+}
+
 // flush appends everything that changed, or a heartbeat.
 func (c *Cell) flush() {
-	if c.inFlight != nil || c.released {
+	if c.inFlight != nil {
+		c.refuseLateOffers()
+		return
+	}
+	if c.released || c.storeRefuses && c.now.Sub(c.lastSent) < refusedRetry {
 		return
 	}
 	beat := c.now.Sub(c.lastSent) >= heartbeatInterval
@@ -150,10 +185,13 @@
 		return
 	}
 	c.commit++
-	in := &commit{number: c.commit, sentAt: c.now, ends: map[*worker]int64{}}
+	in := &commit{number: c.commit, sentAt: c.now, ends: map[*worker]endMark{}}
 	a := Append{Commit: c.commit, Epoch: c.epoch, Entries: c.takeOffers(in)}
 	for _, j := range c.dirty {
 		j.dirty = false
+		if c.jobs[j.id] != j {
+			continue // refused; the same id may have been handed in again
+		}
 		p := j.snapshot()
 		in.states = append(in.states, jobState{job: j, state: j.state})
 		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(j.id), Value: jobs.Encode(p)})
@@ -161,10 +199,10 @@
 	for _, key := range c.forgotten {
 		a.Entries = append(a.Entries, Entry{Key: key})
 	}
-	c.forgotten = nil
+	in.forgotten, c.forgotten = c.forgotten, nil
 	for _, w := range c.list {
 		if w.seenEnd > w.durableEnd {
-			in.ends[w] = w.seenEnd
+			in.ends[w] = endMark{boot: w.boot, seq: w.seenEnd}
 		}
 	}
 	in.planned = c.planned
@@ -243,15 +281,17 @@
 // the next append.
 func (c *Cell) forget(j *job) {
 	c.forgotten = append(c.forgotten, jobs.ProgressKey(j.id))
-	if j.part == InProgress {
-		c.forgotten = append(c.forgotten, jobs.JobKey(j.id))
-	} else {
-		c.emit(Forget{Part: j.part, Key: jobs.JobKey(j.id)})
-	}
-	if j.cancelled && j.cancelPart == InProgress {
-		c.forgotten = append(c.forgotten, jobs.CancelKey(j.id))
-	} else if j.cancelled {
-		c.emit(Forget{Part: j.cancelPart, Key: jobs.CancelKey(j.id)})
-	}
+	c.forgetKey(j.parts, jobs.JobKey(j.id))
+	c.forgetKey(j.cancelParts, jobs.CancelKey(j.id))
 	delete(c.jobs, j.id)
 }
+
+func (c *Cell) forgetKey(parts []int, key string) {
+	for _, part := range parts {
+		if part == InProgress {
+			c.forgotten = append(c.forgotten, key)
+		} else {
+			c.emit(Forget{Part: part, Key: key})
+		}
+	}
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -125,6 +125,9 @@
 	if len(got) == 0 {
 		return
 	}
+	if c.heldElsewise(g, got, candidates, workers) {
+		return
+	}
 	run := 0
 	if g.step.Gang {
 		run = g.nextRun()
@@ -140,6 +143,20 @@
 	c.markDirty(g.job)
 }
 
+// heldElsewise reports whether a chosen worker still has an earlier run of the
+// same group's tasks that nobody placed.
+func (c *Cell) heldElsewise(g *group, got []int, candidates []fit.Candidate, workers []*worker) bool {
+	for _, at := range got {
+		for i := range g.tasks {
+			p := workers[candidates[at].Index].runs[g.ref(i)]
+			if p != nil && g.tasks[i].placement != p {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // nextRun returns a run number above all that the group's members have used.
 func (g *group) nextRun() int {
 	run := g.run
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -30,6 +30,7 @@
 	lostAnswers float64 // share of appends whose answer is lost
 	lateOrders  float64 // share of orders that are not answered and done late
 	storeDown   bool
+	storeBusy   bool                 // refuses appends
 	gone        int                  // workers that left for good
 	newest      map[jobs.ID]jobs.Job // submitted jobs
 	tickets     uint64
@@ -292,11 +293,11 @@
 	case Log:
 		s.trace("%s %s %v %+v", n.cell.cfg.Self, e.What, e.Job, e.Fields)
 	case Append:
-		n.append(life, e, s.now)
+		n.append(life, e, s.now, false)
 	case TryClaim:
 		n.claimSeq = s.rnd.Int64N(1 << 40)
 		s.after(s.latency(), func() {
-			if n.cut || s.storeDown || n.life != life {
+			if n.cut || s.storeDown || s.storeBusy || n.life != life {
 				reply(Claimed{Epoch: e.Claim.Epoch, SentAt: s.now})
 				return
 			}
@@ -353,19 +354,27 @@
 }
 
 // append repeats an append until it has a final answer, as the driver does.
-func (n *simNode) append(life int, a Append, sent model.Time) {
+func (n *simNode) append(life int, a Append, sent model.Time, inDoubt bool) {
 	s := n.s
 	s.after(s.latency(), func() {
 		if n.life != life {
 			return
 		}
 		if n.cut || s.storeDown || n.paused {
-			s.after(100*time.Millisecond, func() { n.append(life, a, sent) })
+			s.after(100*time.Millisecond, func() { n.append(life, a, sent, inDoubt) })
+			return
+		}
+		if s.storeBusy && inDoubt {
+			s.after(100*time.Millisecond, func() { n.append(life, a, sent, true) })
+			return
+		}
+		if s.storeBusy {
+			s.after(s.latency(), func() { n.send(life, Appended{Commit: a.Commit, SentAt: sent, Refused: true}) })
 			return
 		}
 		ok, fenced := s.store.appendProgress(a.Entries, a.Epoch, n.claimSeq+int64(a.Commit), -1)
 		if ok && s.rnd.Float64() < s.lostAnswers {
-			s.after(150*time.Millisecond, func() { n.append(life, a, sent) })
+			s.after(150*time.Millisecond, func() { n.append(life, a, sent, true) })
 			return
 		}
 		s.after(s.latency(), func() { n.send(life, Appended{Commit: a.Commit, SentAt: sent, Fenced: fenced || !ok}) })
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -304,4 +304,6 @@
 }
 
 // calm reports whether no fault is in progress that could hold up an order.
-func (s *sim) calm() bool { return s.lateOrders == 0 && s.lostAnswers == 0 && !s.storeDown }
+func (s *sim) calm() bool {
+	return s.lateOrders == 0 && s.lostAnswers == 0 && !s.storeDown && !s.storeBusy
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -27,12 +27,12 @@
 	dirty     bool  // state is not in an append yet
 	progress  *jobs.Progress
 
-	// part of the submissions has the job, and cancelPart its cancellation;
-	// InProgress if the progress stream has it.
-	part       int
-	cancelPart int
-	offers     []uint64 // that wait for the job to be stored
-	unstored   bool     // offered, and in no stream yet
+	// parts of the submissions have the job, and cancelParts its cancellation;
+	// InProgress stands for the progress stream.
+	parts       []int
+	cancelParts []int
+	offers      []uint64 // that wait for the job to be stored
+	unstored    bool     // offered, and in no stream yet
 }
 
 // InProgress stands for the progress stream in the place of a part of the
@@ -198,7 +198,7 @@
 	config  *jobs.Config
 	jobs    map[jobs.ID]*job
 	early   map[jobs.ID]*jobs.Progress // progress whose submission was not read yet
-	cancels map[jobs.ID]int            // parts of cancellations whose submission was not read yet
+	cancels map[jobs.ID][]int          // parts of cancellations whose submission was not read yet
 	workers map[model.WorkerName]*worker
 	list    []*worker // all workers by name
 	health  *health.State
@@ -220,24 +220,27 @@
 	ownerSince model.Time
 	settled    bool // owner that knows every job
 
-	ready     []*group        // groups with pending tasks, in order of rank after a sort
-	changed   bool            // something happened that may let a waiting group be placed
-	mostFree  model.Resources // in each kind, at any usable worker
-	resort    bool
-	rankedAt  model.Time
-	dirty     []*job
-	offered   []Entry  // submissions and cancellations for the next append
-	offers    []uint64 // tickets of offered
-	newJobs   []*job   // among offered
-	commit    uint64   // number of the append in flight, or of the last one
-	inFlight  *commit
-	lastSent  model.Time
-	planned   []*placement // to be in the next append
-	released  bool
-	yielding  bool // gives the cell up, since another instance can serve it better
-	endsDirty bool // workers listed ends that are not in an append yet
-	forgetAt  model.Time
-	forgotten []string // keys that the next append removes
+	ready        []*group        // groups with pending tasks, in order of rank after a sort
+	changed      bool            // something happened that may let a waiting group be placed
+	mostFree     model.Resources // in each kind, at any usable worker
+	resort       bool
+	rankedAt     model.Time
+	dirty        []*job
+	offered      []Entry  // submissions and cancellations for the next append
+	offers       []uint64 // tickets of offered
+	newJobs      []*job   // among offered
+	cancelled    []*job   // by offers
+	commit       uint64   // number of the append in flight, or of the last one
+	inFlight     *commit
+	lastSent     model.Time
+	planned      []*placement // to be in the next append
+	released     bool
+	yielding     bool          // gives the cell up, since another instance can serve it better
+	storeRefuses bool          // the last append was refused
+	usualAppend  time.Duration // smoothed
+	endsDirty    bool          // workers listed ends that are not in an append yet
+	forgetAt     model.Time
+	forgotten    []string // keys that the next append removes
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
@@ -248,14 +251,22 @@
 
 // commit is an append in flight.
 type commit struct {
-	number  uint64
-	offers  []uint64
-	stored  []*job // that were offered
-	sentAt  model.Time
-	planned []*placement
-	states  []jobState
-	ends    map[*worker]int64
-	release bool
+	number    uint64
+	offers    []uint64
+	cancels   []*job // that were offered
+	stored    []*job // that were offered
+	sentAt    model.Time
+	planned   []*placement
+	states    []jobState
+	ends      map[*worker]endMark
+	release   bool
+	forgotten []string
+}
+
+// endMark names the newest end of one life of a worker that an append covers.
+type endMark struct {
+	boot int64
+	seq  int64
 }
 
 // jobState is a job's state in an append.
@@ -270,7 +281,7 @@
 		cfg:      cfg,
 		jobs:     map[jobs.ID]*job{},
 		early:    map[jobs.ID]*jobs.Progress{},
-		cancels:  map[jobs.ID]int{},
+		cancels:  map[jobs.ID][]int{},
 		workers:  map[model.WorkerName]*worker{},
 		advisors: map[string]*advisor{},
 		learned:  map[string]*queueStats{},
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -99,6 +99,9 @@
 	}
 	switch e.Verdict {
 	case Accepted:
+		if e.Boot != 0 && e.Boot < w.boot || e.Boot == w.boot && e.Clock < w.clock {
+			return // overtaken by a newer answer
+		}
 		c.workerAnswered(w, e)
 	case Superseded:
 		c.reload("a worker has seen a higher epoch")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -24,12 +24,11 @@
 const (
 	// pingInterval and pingTimeout find a silent connection. Together they are
 	// below the time after which an owner without a link is suspected.
-	pingInterval = 250 * time.Millisecond
-	pingTimeout  = 400 * time.Millisecond
-	// missedPings closes a connection. One late answer alone may be a pause of
-	// the process.
-	missedPings = 2
-	dialTimeout = 300 * time.Millisecond
+	pingInterval = 150 * time.Millisecond
+	pingTimeout  = 250 * time.Millisecond
+	dialTimeout  = 300 * time.Millisecond
+	// writeTimeout bounds a write to a peer that does not read.
+	writeTimeout = time.Second
 	// redialPause separates attempts to reach the owner.
 	redialPause = 150 * time.Millisecond
 	// idleAccepted closes a connection whose instance has stopped pinging.
@@ -199,7 +198,7 @@
 }
 
 func (c *deadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(pingTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
@@ -315,7 +314,6 @@
 
 // watch returns when the connection is lost or silent.
 func (c *Client) watch(ctx context.Context, conn *jsonrpc2.Conn) error {
-	missed := 0
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -324,12 +322,9 @@
 			return ctx.Err()
 		case <-time.After(pingInterval):
 		}
-		err := c.callWithin(ctx, conn, methodPing, struct{}{})
-		if err == nil {
-			missed = 0
-			continue
-		}
-		if missed++; missed >= missedPings {
+		// One late answer may be a pause of the process, but a new connection
+		// costs little, and the owner is suspected only if it is silent elsewhere.
+		if err := c.callWithin(ctx, conn, methodPing, struct{}{}); err != nil {
 			return err
 		}
 	}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -97,7 +97,12 @@
 	}
 	f := &store.Fence{Writer: cellName, Epoch: a.Epoch, Seq: l.claimSeq.Load() + int64(a.Commit), At: -1}
 	sent := n.deps.Now()
-	if _, err := n.repeat(l.ctx, store.Progress, records, f, forever); err != nil && l.ctx.Err() == nil {
+	inDoubt, err := n.repeat(l.ctx, store.Progress, records, f, ownerTries)
+	if err != nil && !inDoubt && store.KindOf(err) == store.NotDone {
+		n.send(l, cell.Appended{Commit: a.Commit, SentAt: sent, Refused: true})
+		return
+	}
+	if err != nil && l.ctx.Err() == nil {
 		// Fenced, or nothing more can be appended in sequence.
 		n.deps.Telemetry.Line("append refused", LineFields{Subject: store.Progress.String(), Reason: err.Error()})
 		n.send(l, cell.Appended{Commit: a.Commit, SentAt: sent, Fenced: true})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -38,7 +38,7 @@
 		return false, "no configuration"
 	case l == nil || !l.loaded.Load():
 		return false, "cell not loaded"
-	case time.Duration(int64(n.deps.Now())-n.storeOK.Load()) > storeSilence:
+	case n.storeAge() > storeSilence:
 		return false, "store out of reach"
 	}
 	return true, ""
@@ -126,7 +126,7 @@
 	if v, known := n.view(id); known {
 		return v, Outcome{Kind: Done}
 	}
-	unknown := Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: storeRetryAfter}}
+	unknown := n.refusedByStore()
 	n.mu.Lock()
 	l, subs := n.life, n.subs
 	n.mu.Unlock()
@@ -186,7 +186,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.life.loaded.Load() {
-		return 0, refusedByStore()
+		return 0, n.refusedByStore()
 	}
 	return n.cell.Waiting(queue), Outcome{Kind: Done}
 }
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -12,6 +12,8 @@
 
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/link"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/admission"
 	"github.com/gentianpick/gentianpick/internal/store"
 )
 
@@ -36,8 +38,9 @@
 	appendRetry = 30 * time.Millisecond
 	// maxOpen bounds the attempts at one append that have no answer.
 	maxOpen = 3
-	// forever lets an append be tried until it has a final answer.
-	forever = 0
+	// ownerTries bounds the attempts at an owner's append that certainly failed.
+	// With one in doubt, it is tried until it has a final answer.
+	ownerTries = 2
 	// submitTries bounds the attempts at a submission that certainly failed.
 	// More of them would only delay the refusal.
 	submitTries = 2
@@ -45,15 +48,13 @@
 	submitBatches = 1
 	// batchBytes bounds one append; the store takes up to 2 MiB a call.
 	batchBytes = 1 << 20
-	// storeRetryAfter is when a caller should come back that was refused for
-	// want of the store. By then the balancer sends it elsewhere.
-	storeRetryAfter = time.Second
 )
 
 // repeat appends records until the store has them or gives a final answer. It
 // sends an attempt again that has no answer yet. After the given number of
-// attempts that were certainly not done, it gives up. The result inDoubt says
-// that the records may be or become stored in spite of the error.
+// attempts that were certainly not done, it gives up, but never on a fenced
+// append in doubt, which the next one must follow. The result inDoubt says that
+// the records may be or become stored in spite of the error.
 func (n *Node) repeat(ctx context.Context, s store.Stream, records []store.Record, f *store.Fence, tries int) (inDoubt bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -105,7 +106,7 @@
 			if open > 0 {
 				continue
 			}
-			if tries != forever && failed >= tries {
+			if failed >= tries && (!inDoubt || f == nil) {
 				return inDoubt, err
 			}
 			sleep(ctx, appendRetry)
@@ -164,7 +165,8 @@
 	go func() { results <- s.viaOwner(ctx, e) }()
 	inDoubt, open, direct := false, 1, false
 	begin := func() {
-		if !direct {
+		// A store that does not answer here would only bring doubt.
+		if !direct && s.n.storeAnswers() {
 			direct = true
 			open++
 			go func() { results <- s.direct(ctx, e) }()
@@ -191,13 +193,21 @@
 			if inDoubt {
 				return Outcome{Kind: InDoubt}
 			}
-			return refusedByStore()
+			return s.n.refusedByStore()
 		}
 	}
 }
 
-func refusedByStore() Outcome {
-	return Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: storeRetryAfter}}
+// storeAnswers reports whether the store has answered this instance lately.
+func (n *Node) storeAnswers() bool { return n.storeAge() < storeSilence/2 }
+
+func (n *Node) storeAge() time.Duration {
+	return n.deps.Now().Sub(model.Time(n.storeOK.Load()))
+}
+
+// refusedByStore tells a caller when to come back.
+func (n *Node) refusedByStore() Outcome {
+	return Outcome{Kind: Refused, Refusal: Refusal{Reason: StoreUnavailable, RetryAfter: admission.RetryAfter(n.storeAge())}}
 }
 
 // viaOwner asks the owner to store an entry.
