--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 		case <-ctx.Done():
 			return
 		case batch := <-n.events:
-			if n.owns() {
+			if n.Owns() {
 				// Events that come together are handled together.
 				time.Sleep(stepPause)
 			}
@@ -143,8 +143,8 @@
 	}
 }
 
-// owns reports whether this instance owns the cell.
-func (n *Node) owns() bool {
+// Owns reports whether this instance owns the cell.
+func (n *Node) Owns() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.life.owner.Load()
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -212,7 +212,7 @@
 
 // viaOwner asks the owner to store an entry.
 func (s *submitter) viaOwner(ctx context.Context, e cell.Entry) result {
-	if s.n.owns() {
+	if s.n.Owns() {
 		return s.n.offer(ctx, e)
 	}
 	sent := s.n.deps.Now()
