--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -39,8 +39,8 @@
 	// idleWait and busyWait are how long a worker may hold back the answer to a
 	// Renew if no run ends. Busy workers are asked more often, since their
 	// answer also tells the progress of runs.
-	idleWait = 1500 * time.Millisecond
-	busyWait = 700 * time.Millisecond
+	idleWait = 2 * time.Second
+	busyWait = 900 * time.Millisecond
 	// renewPause separates renewals while ends wait for the store, or after a
 	// renewal that failed.
 	renewPause = 300 * time.Millisecond
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -17,18 +17,20 @@
 	// configWait is a long poll, so a new configuration arrives at once. It is
 	// short enough that a silent connection is found well within the bound for
 	// configurations to be in force.
-	configWait = 500 * time.Millisecond
+	configWait = 900 * time.Millisecond
 	// workersPause is far below the bound within which a draining worker must
 	// get no more work. Workers write often, so a long poll would return at once.
 	workersPause = 400 * time.Millisecond
+	// workersStandby is the same for an instance that is not the owner.
+	workersStandby = 1200 * time.Millisecond
 	// standbyPause is how far behind an instance that is not the owner may be.
 	// It takes part in the time to a takeover.
 	standbyPause = 300 * time.Millisecond
 	// submissionsPause is the same for submissions. An instance that is asked
 	// for a job that it has not read yet, or takes the cell over, reads at once.
-	submissionsPause = 2 * time.Second
+	submissionsPause = 3 * time.Second
 	// ownerWait is the owner's long poll for submissions.
-	ownerWait = 500 * time.Millisecond
+	ownerWait = time.Second
 	// ownerPause lets submissions that come together be read by one call.
 	ownerPause = 3 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed read.
@@ -109,7 +111,10 @@
 			continue
 		}
 		wait, pause := f.wait, f.pause
-		if f.owned != nil && f.owned.Load() {
+		switch {
+		case f.stream == store.Workers && !f.n.Owns():
+			pause = workersStandby
+		case f.owned != nil && f.owned.Load():
 			wait, pause = ownerWait, ownerPause
 		}
 		if f.read(ctx, wait) {
