Reserve the emptiest workers for a gang that waits

Change: after 1.2 s, up to two gangs keep as many of the emptiest workers as they need from other batch work.

--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -12,6 +12,12 @@
 )
 
 const (
+	// reserveAfter is how long a gang waits before workers are reserved for it.
+	// Until then it would often find room anyway.
+	reserveAfter = 1200 * time.Millisecond
+	// maxReservations bounds the gangs that workers are reserved for, since
+	// reserved workers run empty.
+	maxReservations = 2
 	// rankInterval is how often the order of waiting groups is computed anew
 	// without a change, since work becomes late as time passes.
 	rankInterval = 100 * time.Millisecond
@@ -31,6 +37,8 @@
 	c.changed = false
 	c.sortReady()
 	c.measureRoom()
+	clear(c.reserved)
+	c.reservations = 0
 	kept := c.ready[:0]
 	for _, g := range c.ready {
 		if g.pending > 0 && !g.job.state.Final() {
@@ -108,6 +116,7 @@
 	}
 	d := fit.Demand{Need: room(g.step), Headroom: c.headroom(g), DataRack: g.step.DataRack, OneRack: g.step.Gang && g.step.OneRack}
 	if d.Need.MilliCPU+d.Headroom > c.mostFree.MilliCPU || d.Need.MemoryMB > c.mostFree.MemoryMB {
+		c.reserve(g, q, d)
 		return // no worker has room for even one task
 	}
 	candidates, workers := c.candidates(g, q)
@@ -123,6 +132,7 @@
 		c.askFor(g, q)
 	}
 	if len(got) == 0 {
+		c.reserve(g, q, d)
 		return
 	}
 	if c.heldElsewise(g, got, candidates, workers) {
@@ -143,6 +153,33 @@
 	c.markDirty(g.job)
 }
 
+// reserve keeps the emptiest workers that a waiting gang may use from batch work
+// that comes after it. Without that, narrow tasks take each piece of room as it
+// comes free, and a wide gang waits until the crest is over.
+func (c *Cell) reserve(g *group, q *jobs.Queue, d fit.Demand) {
+	if !g.step.Gang || q.Priority == 0 || c.reservations >= maxReservations || c.now.Sub(g.readyAt) < reserveAfter || d.Need.MilliCPU <= 0 {
+		return
+	}
+	var pool []*worker
+	for _, w := range c.list {
+		if c.allowed(g, q, w) && c.reserved[w] == nil && (!q.Eligibility.Needed() || g.eligibleAt(w) == eligibleYes) {
+			pool = append(pool, w)
+		}
+	}
+	slices.SortStableFunc(pool, func(a, b *worker) int { return -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU) })
+	room := int64(0)
+	for i, w := range pool {
+		if room += (w.info.Capacity.MilliCPU - d.Headroom) / d.Need.MilliCPU; room < int64(g.pending) {
+			continue
+		}
+		for _, w := range pool[:i+1] {
+			c.reserved[w] = g
+		}
+		c.reservations++
+		return
+	}
+}
+
 // heldElsewise reports whether a chosen worker still has an earlier run of the
 // same group's tasks that nobody placed.
 func (c *Cell) heldElsewise(g *group, got []int, candidates []fit.Candidate, workers []*worker) bool {
@@ -185,7 +222,7 @@
 	var out []fit.Candidate
 	var workers []*worker
 	add := func(w *worker) {
-		if !c.allowed(g, q, w) {
+		if !c.allowed(g, q, w) || q.Priority > 0 && c.reserved[w] != nil {
 			return
 		}
 		limit := -1
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -225,6 +225,8 @@
 	mostFree     model.Resources // in each kind, at any usable worker
 	resort       bool
 	rankedAt     model.Time
+	reserved     map[*worker]*group // for gangs that wait
+	reservations int                // gangs that workers are reserved for in this pass
 	dirty        []*job
 	offered      []Entry  // submissions and cancellations for the next append
 	offers       []uint64 // tickets of offered
@@ -286,6 +288,7 @@
 		advisors: map[string]*advisor{},
 		learned:  map[string]*queueStats{},
 		health:   health.New(healthConfig()),
+		reserved: map[*worker]*group{},
 	}
 }
 
