A job is looked up in every stream that may have it

Change: lookups read the progress stream too, and wait for the reducer; an instance is loaded when the reducer has taken everything.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -226,7 +226,7 @@
 	}
 	n.config.Store(c)
 	n.deps.Telemetry.Line("configuration in force", LineFields{Count: c.Version})
-	n.events <- []cell.Event{cell.ConfigChanged{Config: c}}
+	n.post(cell.ConfigChanged{Config: c})
 }
 
 func (n *Node) takeWorker(r store.Record) {
@@ -244,7 +244,7 @@
 	n.mu.Lock()
 	n.workers[name] = info
 	n.mu.Unlock()
-	n.events <- []cell.Event{cell.WorkerListed{Info: info}}
+	n.post(cell.WorkerListed{Info: info})
 }
 
 func (n *Node) dropWorker(name model.WorkerName) {
@@ -253,7 +253,7 @@
 	delete(n.workers, name)
 	n.mu.Unlock()
 	if known {
-		n.events <- []cell.Event{cell.WorkerUnlisted{Name: name}}
+		n.post(cell.WorkerUnlisted{Name: name})
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,7 @@
 	deps Deps
 	self string // incarnation
 
-	events chan []cell.Event
+	events chan batch
 	client *link.Client
 
 	mu      sync.Mutex // guards cell, life, workers and peers
@@ -104,7 +104,7 @@
 func New(set Settings, deps Deps, incarnation string) *Node {
 	n := &Node{
 		set: set, deps: deps, self: incarnation,
-		events:  make(chan []cell.Event, eventQueue),
+		events:  make(chan batch, eventQueue),
 		workers: map[model.WorkerName]jobs.WorkerInfo{},
 		peers:   map[string]*link.Peer{},
 	}
@@ -133,12 +133,16 @@
 		select {
 		case <-ctx.Done():
 			return
-		case batch := <-n.events:
+		case b := <-n.events:
 			if n.Owns() {
 				// Events that come together are handled together.
 				time.Sleep(stepPause)
 			}
-			n.step(ctx, n.gather(batch))
+			events, taken := n.gather(b)
+			n.step(ctx, events)
+			for _, done := range taken {
+				close(done)
+			}
 		}
 	}
 }
@@ -150,21 +154,48 @@
 	return n.life.owner.Load()
 }
 
-// gather adds the events that wait already.
-func (n *Node) gather(batch []cell.Event) []cell.Event {
+// batch holds events for the reducer.
+type batch struct {
+	events []cell.Event
+	taken  chan struct{} // if set, closed when the reducer has taken the events
+}
+
+// post queues events for the reducer.
+func (n *Node) post(events ...cell.Event) { n.events <- batch{events: events} }
+
+// settle waits until the reducer has taken every event queued so far.
+func (n *Node) settle(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case n.events <- batch{taken: done}:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// gather adds the events that wait already, and returns whom to tell when they
+// are taken.
+func (n *Node) gather(b batch) (events []cell.Event, taken []chan struct{}) {
 	for {
+		events = append(events, b.events...)
+		if b.taken != nil {
+			taken = append(taken, b.taken)
+		}
 		select {
-		case more := <-n.events:
-			batch = append(batch, more...)
+		case b = <-n.events:
 		default:
-			return batch
+			return events, taken
 		}
 	}
 }
 
-func (n *Node) step(ctx context.Context, batch []cell.Event) {
+func (n *Node) step(ctx context.Context, events []cell.Event) {
 	n.mu.Lock()
-	effects := n.cell.Step(n.deps.Now(), batch...)
+	effects := n.cell.Step(n.deps.Now(), events...)
 	life := n.life
 	n.mu.Unlock()
 	n.perform(ctx, life, effects)
@@ -175,7 +206,7 @@
 	if l != nil && l.ctx.Err() != nil {
 		return
 	}
-	n.events <- events
+	n.post(events...)
 }
 
 // restart builds the cell anew from the store.
@@ -238,6 +269,7 @@
 		}
 		parts.Wait()
 		if l.ctx.Err() == nil && progress.load(l.ctx) {
+			n.settle(l.ctx)
 			l.loaded.Store(true)
 			n.deps.Telemetry.Line("cell loaded", LineFields{})
 			for _, f := range subs {
@@ -271,7 +303,7 @@
 			return
 		case <-t.C:
 			select {
-			case n.events <- []cell.Event{cell.Tick{UnixMs: time.Now().UnixMilli()}}:
+			case n.events <- batch{events: []cell.Event{cell.Tick{UnixMs: time.Now().UnixMilli()}}}:
 			default: // the reducer is behind and will learn the time later
 			}
 		}
@@ -282,7 +314,7 @@
 func (n *Node) Drain() {
 	if n.draining.CompareAndSwap(false, true) {
 		n.deps.Telemetry.Line("drain", LineFields{Reason: "signal"})
-		n.events <- []cell.Event{cell.DrainStarted{}}
+		n.post(cell.DrainStarted{})
 	}
 }
 
@@ -292,7 +324,7 @@
 		f = LineFields{Outcome: "lost", Reason: text(cause)}
 	}
 	n.deps.Telemetry.Line("link to the owner", f)
-	n.events <- []cell.Event{cell.LinkChanged{Up: up}}
+	n.post(cell.LinkChanged{Up: up})
 	if !up {
 		// The stream tells whether the owner has given the cell up.
 		n.mu.Lock()
--- a/internal/node/offers.go
+++ b/internal/node/offers.go
@@ -55,7 +55,7 @@
 		n.deps.Telemetry.Line("offer unreadable", LineFields{Subject: e.Key, Reason: err.Error()})
 		return result{}
 	}
-	n.events <- []cell.Event{event}
+	n.post(event)
 	select {
 	case s := <-settled:
 		return result{stored: s.Stored, inDoubt: s.InDoubt}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,7 +121,7 @@
 }
 
 // lookup returns what the store knows of a job: if this instance does not know
-// it, the stream of submissions is read to its end first. The outcome is
+// it, the streams that have submissions are read to their ends first. The outcome is
 // Refused if the store can't be read.
 func (n *Node) lookup(ctx context.Context, id jobs.ID) (cell.View, Outcome) {
 	if v, known := n.view(id); known {
@@ -128,39 +129,46 @@
 	}
 	unknown := n.refusedByStore()
 	n.mu.Lock()
-	l, subs := n.life, n.subs
+	l, followers := n.life, slices.Clone(n.subs)
+	if !l.owner.Load() {
+		followers = append(followers, n.progress)
+	}
 	n.mu.Unlock()
 	if !l.loaded.Load() {
 		return cell.View{}, unknown
 	}
-	errs := make([]error, len(subs))
+	errs := make([]error, len(followers))
 	var parts sync.WaitGroup
-	for part, f := range subs {
-		parts.Go(func() { errs[part] = n.readJob(ctx, l, part, f.at.Load(), id) })
+	for i, f := range followers {
+		parts.Go(func() { errs[i] = n.readJob(ctx, l, f, id) })
 	}
 	parts.Wait()
 	if err := errors.Join(errs...); err != nil {
 		n.deps.Telemetry.Line("lookup failed", LineFields{Subject: string(id), Reason: err.Error()})
 		return cell.View{}, unknown
 	}
-	n.settleEvents(ctx)
+	n.settle(ctx)
 	if v, known := n.view(id); known {
 		return v, Outcome{Kind: Done}
 	}
 	return cell.View{}, Outcome{Kind: NotFound}
 }
 
-// readJob reads one part of the submissions to its end and takes the entries of
-// one job.
-func (n *Node) readJob(ctx context.Context, l *life, part int, from int64, id jobs.ID) error {
+// readJob reads a stream from where its follower is to its end, and takes the
+// submission and the cancellation of one job.
+func (n *Node) readJob(ctx context.Context, l *life, f *follower, id jobs.ID) error {
+	part := f.stream.Part()
+	if f.stream == store.Progress {
+		part = cell.InProgress
+	}
 	take := n.takeSubmission(l, part)
-	for {
-		b, err := n.deps.Store.Read(ctx, store.SubmissionsPart(part), from, 0)
+	for from := f.at.Load(); ; {
+		b, err := n.deps.Store.Read(ctx, f.stream, from, 0)
 		if err != nil {
 			return err
 		}
 		for _, r := range b.Records {
-			if _, of := jobs.ParseKey(r.Key); of == id {
+			if kind, of := jobs.ParseKey(r.Key); of == id && kind != jobs.KindProgress {
 				take(r)
 			}
 		}
@@ -170,17 +178,6 @@
 	}
 }
 
-// settleEvents waits until the reducer has taken every event queued so far.
-func (n *Node) settleEvents(ctx context.Context) {
-	for range 20 {
-		if len(n.events) == 0 || ctx.Err() != nil {
-			break
-		}
-		sleep(ctx, time.Millisecond)
-	}
-	sleep(ctx, 2*time.Millisecond)
-}
-
 // Waiting implements Gateway.
 func (n *Node) Waiting(queue string) (int, Outcome) {
 	n.mu.Lock()
@@ -230,7 +227,7 @@
 	n.peers[name] = peer
 	n.mu.Unlock()
 	n.deps.Telemetry.Line("instance connected", LineFields{Subject: name})
-	n.events <- []cell.Event{cell.AdvisorChanged{Name: name, Up: true}}
+	n.post(cell.AdvisorChanged{Name: name, Up: true})
 }
 
 // Disconnected implements link.Handler.
@@ -244,6 +241,6 @@
 	n.mu.Unlock()
 	if current {
 		n.deps.Telemetry.Line("instance disconnected", LineFields{Subject: name})
-		n.events <- []cell.Event{cell.AdvisorChanged{Name: name, Up: false}}
+		n.post(cell.AdvisorChanged{Name: name, Up: false})
 	}
 }
