Submissions in doubt are tried again until the caller's deadline

Change: an entry in doubt is tried again; an instance appends by itself only if the store has answered it since the request began.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -81,13 +81,12 @@
 	after, end := "", int64(-1)
 	f.loaded = map[string]int64{}
 	for {
-		sent := f.n.deps.Now()
 		p, err := f.n.deps.Store.Newest(ctx, f.stream, after)
 		if err != nil {
 			f.fail(ctx, err)
 			return false
 		}
-		f.succeed(sent)
+		f.succeed()
 		if end < 0 {
 			end = p.End // later pages may hold newer records, which are read again
 		}
@@ -137,7 +136,7 @@
 		f.fail(ctx, err)
 		return false
 	}
-	f.succeed(sent)
+	f.succeed()
 	for _, r := range b.Records {
 		if at, ok := f.loaded[r.Key]; ok && at >= r.Offset {
 			continue
@@ -181,12 +180,12 @@
 	f.at.Store(offset)
 }
 
-func (f *follower) succeed(sent model.Time) {
+func (f *follower) succeed() {
 	if f.failed > 0 {
 		f.n.deps.Telemetry.Line("stream regained", LineFields{Subject: f.stream.String(), Count: int64(f.failed)})
 	}
 	f.failed = 0
-	f.n.storeOK.Store(int64(sent))
+	f.n.storeOK.Store(int64(f.n.deps.Now()))
 }
 
 func (f *follower) fail(ctx context.Context, err error) {
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -23,6 +23,11 @@
 	// cost the slack of urgent work. Repetitions are harmless: an owner's appends
 	// carry a sequence number, and a repeated submission is the same job.
 	hedgeAfter = 120 * time.Millisecond
+	// doubtRetry is the pause before an entry in doubt is tried again.
+	doubtRetry = 100 * time.Millisecond
+	// storeAnswering is how old the store's newest answer may be for it to count
+	// as reachable. An instance reads several times in that time.
+	storeAnswering = 450 * time.Millisecond
 	// hedgeFactor times the usual time of an append is waited at least, since
 	// repetitions make a slow store slower.
 	hedgeFactor = 3
@@ -157,50 +162,69 @@
 // result is the answer of one way to store an entry.
 type result struct{ stored, inDoubt bool }
 
-// put stores an entry through the owner, and directly if there is no link, the
-// owner refuses, or it does not answer in time. One success is enough; the
-// entry is the same either way.
+// put stores an entry. A certain failure is final at once. One in doubt is
+// tried again until the caller's deadline, since the entry is the same each
+// time, and a caller can't do anything with a doubt.
 func (s *submitter) put(ctx context.Context, e cell.Entry) Outcome {
+	inDoubt := false
+	for {
+		r := s.try(ctx, e)
+		if r.stored {
+			return Outcome{Kind: Done}
+		}
+		inDoubt = inDoubt || r.inDoubt
+		if !inDoubt {
+			return s.n.refusedByStore()
+		}
+		sleep(ctx, doubtRetry)
+		if ctx.Err() != nil {
+			return Outcome{Kind: InDoubt}
+		}
+	}
+}
+
+// try stores an entry through the owner, and directly if there is no link, the
+// owner refuses, or it does not answer in time. One success is enough.
+func (s *submitter) try(ctx context.Context, e cell.Entry) result {
 	results := make(chan result, 2)
 	go func() { results <- s.viaOwner(ctx, e) }()
+	begun := s.n.deps.Now()
 	inDoubt, open, direct := false, 1, false
 	begin := func() {
-		// A store that does not answer here would only bring doubt.
-		if !direct && s.n.storeAnswers() {
-			direct = true
-			open++
-			go func() { results <- s.direct(ctx, e) }()
-		}
+		direct = true
+		open++
+		go func() { results <- s.direct(ctx, e) }()
 	}
 	patience := time.NewTimer(max(ownerPatience, s.n.hedgeTime()))
 	defer patience.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return Outcome{Kind: InDoubt}
+			return result{inDoubt: true}
 		case <-patience.C:
-			begin()
+			// The owner may wait for a store that is out for all. An append here
+			// would only bring doubt then.
+			if answered := model.Time(s.n.storeOK.Load()); !direct && answered > begun {
+				begin()
+			} else if !direct {
+				patience.Reset(ownerPatience / 4)
+			}
 		case r := <-results:
 			if r.stored {
-				return Outcome{Kind: Done}
+				return r
 			}
 			inDoubt = inDoubt || r.inDoubt
 			open--
-			begin()
-			if open > 0 {
-				continue
+			if !direct && s.n.storeAge() < storeAnswering {
+				begin()
 			}
-			if inDoubt {
-				return Outcome{Kind: InDoubt}
+			if open == 0 {
+				return result{inDoubt: inDoubt}
 			}
-			return s.n.refusedByStore()
 		}
 	}
 }
 
-// storeAnswers reports whether the store has answered this instance lately.
-func (n *Node) storeAnswers() bool { return n.storeAge() < storeSilence/2 }
-
 func (n *Node) storeAge() time.Duration {
 	return n.deps.Now().Sub(model.Time(n.storeOK.Load()))
 }
