Quicker takeover and recovery

Cause: after its claim a new owner waited for a long poll of up to 1 s of each part of the submissions before it acted. After all processes were replaced, each of them connected to the owner's address, where another incarnation answered, and gave the owner 1.2 s more. Instances without the store stayed in rotation for over 3 s. Change: the first read after the claim does not wait; an instance that finds another incarnation at the owner's address knows that the owner is gone; an instance is not ready after 0.9 s without the store, and closes connections then.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,7 +55,7 @@
 	case WorkerUnlisted:
 		c.workerUnlisted(e.Name)
 	case LinkChanged:
-		c.linkUp, c.linkAt = e.Up, c.now
+		c.linkUp, c.ownerGone = e.Up, e.OwnerGone
 	case AdvisorChanged:
 		c.advisorChanged(e)
 	case Claimed:
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -174,7 +174,12 @@
 }
 
 // LinkChanged says whether the connection to the owner works.
-type LinkChanged struct{ Up bool }
+type LinkChanged struct {
+	Up bool
+	// OwnerGone says that another instance answers at the owner's address, so
+	// that the owner's process has certainly ended.
+	OwnerGone bool
+}
 
 // AdvisorChanged says that an instance can or can't make eligibility calls.
 type AdvisorChanged struct {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -34,7 +34,7 @@
 // patience returns how long the owner may be silent.
 func (c *Cell) patience() time.Duration {
 	switch {
-	case c.claim.Epoch == 0 || c.claim.Released:
+	case c.claim.Epoch == 0 || c.claim.Released || c.ownerGone:
 		return 0
 	case c.linkUp:
 		return silenceWithLink
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -212,7 +212,7 @@
 	streamEnd  int64
 	streamAt   model.Time // sending time of the newest complete read
 	linkUp     bool
-	linkAt     model.Time // when linkUp last changed
+	ownerGone  bool       // the owner has certainly ended
 	tryAt      model.Time // no claim before
 	draining   bool
 	yielded    model.Time // when this instance gave the cell up
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -49,6 +49,11 @@
 	Name string `json:"name"`
 }
 
+// Welcome is the answer to a Hello.
+type Welcome struct {
+	Name string `json:"name"` // of the instance that answers
+}
+
 // StateRequest asks for the state of a job.
 type StateRequest struct {
 	ID jobs.ID `json:"id"`
@@ -92,11 +97,16 @@
 	State(ctx context.Context, r StateRequest) StateReply
 	Submit(ctx context.Context, r SubmitRequest) SubmitReply
 	Ask(ctx context.Context, r AskRequest) AskReply
+	// Name returns the instance's incarnation.
+	Name() string
 	// Connected and Disconnected tell of instances that dialled this one.
 	Connected(name string, p *Peer)
 	Disconnected(name string, p *Peer)
 }
 
+// ErrReplaced reports that another instance answers at the owner's address.
+var ErrReplaced = errors.New("another instance answers at the owner's address")
+
 // ErrNoLink reports that there is no connection to the owner.
 var ErrNoLink = errors.New("no link to the owner")
 
@@ -161,7 +171,7 @@
 			peer := s.peer
 			s.mu.Unlock()
 			s.h.Connected(h.Name, peer)
-			return true
+			return Welcome{Name: s.h.Name()}
 		})
 	case methodState:
 		return answer(req, func(r StateRequest) any { return s.h.State(ctx, r) })
@@ -241,6 +251,7 @@
 
 	mu     sync.Mutex
 	target string
+	owner  string // incarnation expected at target
 	conn   *jsonrpc2.Conn
 	wake   chan struct{}
 }
@@ -251,14 +262,14 @@
 	return &Client{name: name, h: h, changed: changed, wake: make(chan struct{}, 1)}
 }
 
-// Target sets the owner's address; empty if there is none to connect to.
-func (c *Client) Target(address string) {
+// Target sets the owner and its address; empty if there is none to connect to.
+func (c *Client) Target(address, owner string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.target == address {
+	if c.target == address && c.owner == owner {
 		return
 	}
-	c.target = address
+	c.target, c.owner = address, owner
 	if c.conn != nil {
 		_ = c.conn.Close()
 	}
@@ -272,10 +283,10 @@
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		target := c.target
+		target, owner := c.target, c.owner
 		c.mu.Unlock()
 		if target != "" {
-			c.connect(ctx, target)
+			c.connect(ctx, target, owner)
 		}
 		select {
 		case <-c.wake:
@@ -286,7 +297,7 @@
 }
 
 // connect serves one connection until it is lost.
-func (c *Client) connect(ctx context.Context, target string) {
+func (c *Client) connect(ctx context.Context, target, owner string) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", target)
 	if err != nil {
@@ -294,12 +305,19 @@
 	}
 	conn := open(ctx, &deadlineConn{Conn: raw, read: idleAccepted}, &served{h: c.h})
 	defer conn.Close()
-	if err := c.callWithin(ctx, conn, methodHello, Hello{Name: c.name}); err != nil {
+	welcome, err := callWithin[Welcome](ctx, conn, methodHello, Hello{Name: c.name})
+	if err != nil {
 		return
 	}
 	c.mu.Lock()
-	if c.target != target {
+	if c.target != target || c.owner != owner {
+		c.mu.Unlock()
+		return
+	}
+	if welcome.Name != owner {
+		c.target = ""
 		c.mu.Unlock()
+		c.changed(false, ErrReplaced)
 		return
 	}
 	c.conn = conn
@@ -324,17 +342,16 @@
 		}
 		// One late answer may be a pause of the process, but a new connection
 		// costs little, and the owner is suspected only if it is silent elsewhere.
-		if err := c.callWithin(ctx, conn, methodPing, struct{}{}); err != nil {
+		if _, err := callWithin[bool](ctx, conn, methodPing, struct{}{}); err != nil {
 			return err
 		}
 	}
 }
 
-func (c *Client) callWithin(ctx context.Context, conn *jsonrpc2.Conn, method string, params any) error {
+func callWithin[R any](ctx context.Context, conn *jsonrpc2.Conn, method string, params any) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	_, err := call[bool](ctx, conn, method, params)
-	return err
+	return call[R](ctx, conn, method, params)
 }
 
 func (c *Client) current() *jsonrpc2.Conn {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -52,7 +52,7 @@
 		case cell.RoleChanged:
 			l.owner.Store(e.Owner)
 			if e.Owner {
-				n.client.Target("")
+				n.client.Target("", "")
 				for _, f := range n.subs {
 					f.hurry()
 				}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -104,6 +104,7 @@
 }
 
 func (f *follower) follow(ctx context.Context) {
+	hurried := false
 	for ctx.Err() == nil {
 		if f.paused != nil && f.paused.Load() {
 			sleep(ctx, standbyPause)
@@ -116,8 +117,12 @@
 		case f.owned != nil && f.owned.Load():
 			wait, pause = ownerWait, ownerPause
 		}
+		if hurried {
+			wait = 0 // somebody waits for a read to the end
+		}
+		hurried = false
 		if f.read(ctx, wait) {
-			f.rest(ctx, pause)
+			hurried = f.rest(ctx, pause)
 		}
 	}
 }
@@ -153,18 +158,17 @@
 	return true
 }
 
-// rest pauses, unless the stream is to be read at once.
-func (f *follower) rest(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
+// rest pauses. It returns true if the stream is to be read at once.
+func (f *follower) rest(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-f.wake:
+		return true
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // hurry ends the present pause.
@@ -309,8 +313,8 @@
 // follow connects to the owner of a claim.
 func (n *Node) follow(c jobs.Claim) {
 	if c.Owner == n.self || c.Released {
-		n.client.Target("")
+		n.client.Target("", "")
 		return
 	}
-	n.client.Target(c.Address)
+	n.client.Target(c.Address, c.Owner)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/link"
@@ -324,7 +326,7 @@
 		f = LineFields{Outcome: "lost", Reason: text(cause)}
 	}
 	n.deps.Telemetry.Line("link to the owner", f)
-	n.post(cell.LinkChanged{Up: up})
+	n.post(cell.LinkChanged{Up: up, OwnerGone: errors.Is(cause, link.ErrReplaced)})
 	if !up {
 		// The stream tells whether the owner has given the cell up.
 		n.mu.Lock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -19,9 +19,9 @@
 	// at most a fraction of a second older.
 	stateTimeout = 250 * time.Millisecond
 	// storeSilence is how long the store may be out of reach before the instance
-	// asks the balancer for no more connections. Submissions are then stored
-	// through the owner.
-	storeSilence = 1500 * time.Millisecond
+	// asks the balancer for no more connections. It is above the pause between
+	// reads and the time of one from a store that is sixty times slower.
+	storeSilence = 900 * time.Millisecond
 )
 
 // Config implements Gateway.
@@ -193,6 +193,9 @@
 
 var _ link.Handler = peers{}
 
+// Name implements link.Handler.
+func (p peers) Name() string { return p.n.self }
+
 // State implements link.Handler.
 func (p peers) State(_ context.Context, r link.StateRequest) link.StateReply {
 	n := p.n
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -101,10 +101,11 @@
 	return nil
 }
 
-// closing makes answers close their connection during a drain.
+// closing makes answers close their connection while the instance is not ready,
+// since a connection stays with its instance.
 func (n *Node) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.draining.Load() {
+		if ok, _ := n.Ready(); !ok {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
