Find workers that are slow or stand still by the progress of their runs

Cause: tasks on workers that stand still were waited for, and slow workers got new work for as long as they were slow. Change: the middle one of several runs' progress against their expected times decides; slow workers get no new work for 2 s, runs that stand still are moved.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -191,6 +191,23 @@
 	is.Equal(v.State, jobs.Completed)
 }
 
+// Tasks at a worker that stands still were waited for until their caller had
+// long given up.
+func TestRunsOfStalledWorkerAreMoved(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 3)
+	s.workers[0].stalledUntil = s.now.Add(time.Hour)
+	for i := range 5 {
+		s.put(jobs.ID(fmt.Sprintf("00000000000001%02d", i)), "batch", jobs.Step{Tasks: 8, Need: cores(1), EstimateMs: 800})
+	}
+	s.run(12 * time.Second)
+	for i := range 5 {
+		v, _ := n.cell.Job(jobs.ID(fmt.Sprintf("00000000000001%02d", i)))
+		is.Equal(v.State, jobs.Completed)
+	}
+	is.Equal(s.wrong, nil)
+}
+
 // Two instances that claimed at the same end of the stream must not both win.
 func TestOneClaimWins(t *testing.T) {
 	is := is.New(t)
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -54,6 +54,13 @@
 	appendWeight = 4
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 400 * time.Millisecond
+	// slowPause keeps new work away from a worker whose runs are slow. It is near
+	// the time that such a state lasts; the next runs tell whether it is over.
+	slowPause = 2 * time.Second
+	// stalledAfter is how long a run must have stood still to be moved.
+	stalledAfter = 700 * time.Millisecond
+	// standstillMargin is added to the time that a gang waits for its members.
+	standstillMargin = 500 * time.Millisecond
 	// forgetInterval is how often finished jobs are looked through.
 	forgetInterval = 5 * time.Second
 	// refusedPause keeps new work away from a worker that refused a start.
@@ -67,6 +74,7 @@
 	Address    string // of this instance, for others
 	DataCentre model.DataCentre
 	Lease      time.Duration // longest lease that workers grant
+	GangWait   time.Duration // how long a member of a gang waits for the others
 	// Spread in [0,1) orders the claims of instances.
 	Spread float64
 	// Retention is how long the state of a finished job is kept.
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -121,7 +121,9 @@
 	}
 	w := s.workers[s.rnd.IntN(len(s.workers))]
 	d := 200*time.Millisecond + time.Duration(s.rnd.Int64N(int64(8*time.Second)))
-	switch s.rnd.IntN(12) {
+	switch s.rnd.IntN(13) {
+	case 12:
+		w.stalledUntil = s.now.Add(3 * d)
 	case 11:
 		s.storeBusy = true
 		s.after(d, func() { s.storeBusy = false })
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 )
@@ -231,17 +232,30 @@
 	}
 }
 
-// checkRuns sends stops again that had no answer.
+// checkRuns sends stops again that had no answer, and moves runs that stand
+// still.
 func (c *Cell) checkRuns() {
 	for _, w := range c.list {
 		for _, p := range sortedRuns(w) {
 			if p.phase == phaseStopping && !p.stopping && !p.barred && c.now.Sub(p.stopSentAt) >= stopRetry {
 				c.sendStop(p)
 			}
+			if p.phase == phaseRunning && p.group != nil && c.now.Sub(p.percentAt) > c.standstill(p.group) {
+				c.stop(p, "no progress")
+			}
 		}
 	}
 }
 
+// standstill returns how long a run of a group may show no progress. Even a
+// straggler shows some in the time that a usual run takes.
+func (c *Cell) standstill(g *group) time.Duration {
+	if g.step.Lasting || g.job.state.Final() {
+		return time.Hour
+	}
+	return max(c.cfg.GangWait+standstillMargin, c.estimate(g.job, g.step))
+}
+
 // sortedRuns returns a worker's placements in a fixed order.
 func sortedRuns(w *worker) []*placement {
 	out := make([]*placement, 0, len(w.runs))
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -246,7 +246,7 @@
 	n.owner = false
 	self := fmt.Sprintf("%s-%d", n.name, n.life)
 	n.cell = New(Config{
-		Name: "cell", Self: self, Address: n.name, Lease: simLease, Spread: n.s.rnd.Float64(), Retention: time.Hour,
+		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Spread: n.s.rnd.Float64(), Retention: time.Hour,
 	})
 	n.subsAt, n.progressAt = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, AdvisorChanged{Name: self, Up: true}}
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -31,9 +31,15 @@
 
 // simRun is one run at a worker.
 type simRun struct {
-	run  int
-	need model.Resources
-	life int
+	run   int
+	need  model.Resources
+	life  int
+	since model.Time
+	takes time.Duration
+}
+
+func (r *simRun) percent(now model.Time) int {
+	return int(100 * max(now.Sub(r.since), 0) / max(r.takes, 1))
 }
 
 // simEnd is an end that is not acknowledged yet.
@@ -49,10 +55,12 @@
 	name     model.WorkerName
 	up       bool
 	unlisted bool // left for good
-	boot     int64
-	rate     float64 // of its clock
-	born     model.Time
-	capacity model.Resources
+	// what it starts stands still until then
+	stalledUntil model.Time
+	boot         int64
+	rate         float64 // of its clock
+	born         model.Time
+	capacity     model.Resources
 
 	fence    int64
 	leaseEnd model.WorkerTime
@@ -176,7 +184,7 @@
 func (w *simWorker) list(r Renewed) Renewed {
 	r.Boot, r.Clock, r.Running, r.Ended = w.boot, w.clock(), nil, nil
 	for _, t := range w.tasks() {
-		r.Running = append(r.Running, RunStatus{Task: t, Run: w.runs[t].run})
+		r.Running = append(r.Running, RunStatus{Task: t, Run: w.runs[t].run, Percent: w.runs[t].percent(w.s.now)})
 	}
 	for _, e := range w.ended {
 		r.Ended = append(r.Ended, e.RunEnd)
@@ -226,6 +234,11 @@
 	s.truth.running[o.Task][w] = o.Run
 	boot, life := w.boot, run.life
 	took := time.Duration(float64(step.EstimateMs)*(0.5+s.rnd.Float64())) * time.Millisecond
+	run.since, run.takes = s.now, took
+	if held := w.stalledUntil.Sub(s.now); held > 0 {
+		run.since = w.stalledUntil
+		took += held
+	}
 	outcome := jobs.OutcomeDone
 	if s.rnd.Float64() < 0.05 || job.Payload == "hopeless" {
 		outcome = jobs.OutcomeFailed
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -134,10 +134,11 @@
 	barred      bool // the worker has accepted a stop
 	reason      string
 
-	percent   int
-	percentAt model.Time // when percent last grew
-	saved     string
-	unlisted  int // renewals since its confirmation that did not list it
+	percent        int
+	percentAtStart int        // of a run that was resumed or taken over
+	percentAt      model.Time // when percent last grew
+	saved          string
+	unlisted       int // renewals since its confirmation that did not list it
 }
 
 // worker is one worker of the cell.
@@ -167,7 +168,8 @@
 
 	// refusedUntil keeps new work away after the worker refused a start.
 	refusedUntil model.Time
-	probe        bool // may get one task although it is in quarantine
+	judgeAt      model.Time // no verdict on its pace before
+	probe        bool       // may get one task although it is in quarantine
 }
 
 // free returns what a worker has left.
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -6,6 +6,7 @@
 	"github.com/gentianpick/gentianpick/internal/health"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/stall"
 )
 
 // healthConfig returns the thresholds of quarantine. Workers here run short
@@ -140,9 +141,49 @@
 		}
 	}
 	c.compareRuns(w, e)
+	c.judgePace(w)
 	c.endsDirty = c.endsDirty || w.seenEnd > w.durableEnd
 }
 
+// judgePace keeps new work from a worker whose runs are slow, and moves its runs
+// if they stand still.
+func (c *Cell) judgePace(w *worker) {
+	if c.now < w.judgeAt {
+		return
+	}
+	var samples []stall.Sample
+	for _, p := range w.runs {
+		if p.phase == phaseRunning && p.confirmedAt != 0 && p.group != nil && !p.group.step.Gang && !p.group.step.Lasting {
+			samples = append(samples, stall.Sample{
+				Elapsed: c.now.Sub(p.confirmedAt), Expected: c.estimate(p.group.job, p.group.step), Percent: p.percent - p.percentAtStart,
+			})
+		}
+	}
+	verdict := stall.Judge(samples)
+	if verdict != stall.Slow && verdict != stall.Stalled {
+		return
+	}
+	w.refusedUntil = c.now.Add(slowPause)
+	w.judgeAt = c.now.Add(slowPause / 4)
+	c.count("slow_workers_total", "")
+	c.log("worker is slow", "", Fields{Worker: w.info.Name, Count: len(samples), Outcome: stalledText(verdict)})
+	if verdict != stall.Stalled {
+		return
+	}
+	for _, p := range sortedRuns(w) {
+		if p.phase == phaseRunning && p.group != nil && !p.group.step.Lasting && c.now.Sub(p.confirmedAt) > stalledAfter {
+			c.stop(p, "its worker stands still")
+		}
+	}
+}
+
+func stalledText(v stall.Verdict) string {
+	if v == stall.Stalled {
+		return "stalled"
+	}
+	return "slow"
+}
+
 // workerReborn drops what an earlier life of a worker ran. A start that has no
 // answer yet might still reach the new life and is stopped there.
 func (c *Cell) workerReborn(w *worker) {
@@ -179,6 +220,7 @@
 		p.unlisted = 0
 		if p.phase == phaseStarting || p.phase == phaseInherited {
 			c.confirm(p)
+			p.percentAtStart = r.Percent
 		}
 		p.saved = r.Checkpoint
 		if r.Percent > p.percent || p.percentAt == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 	fmt.Fprint(h, n.self)
 	return cell.New(cell.Config{
 		Name: cellName, Self: n.self, Address: n.set.LinkListen, DataCentre: n.set.DataCentre,
-		Lease: n.set.Lease, Spread: float64(h.Sum32()%1000) / 1000, Retention: n.set.Retention + retentionMargin,
+		Lease: n.set.Lease, GangWait: n.set.GangWait, Spread: float64(h.Sum32()%1000) / 1000, Retention: n.set.Retention + retentionMargin,
 	})
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,6 +25,7 @@
 	SubmissionStreams int
 
 	Lease       time.Duration // longest lease that workers grant
+	GangWait    time.Duration // how long a member of a gang waits for the others
 	Retention   time.Duration // how long a finished job's state is kept for callers
 	Grace       time.Duration // from SIGTERM to SIGKILL
 	ConfigBound time.Duration // within which a new configuration must be in force
--- /dev/null
+++ b/internal/policy/rank/rank_test.go
@@ -0,0 +1,79 @@
+package rank
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+func urgent(arrived time.Duration) Input {
+	return Input{Urgent: true, Arrived: model.Time(arrived), Chain: 680 * time.Millisecond, Remaining: 680 * time.Millisecond, Stretch: 1.5, Goal: 250 * time.Millisecond}
+}
+
+func batch(arrived time.Duration) Input {
+	return Input{Priority: 2, Arrived: model.Time(arrived), Chain: 2300 * time.Millisecond, Remaining: 2300 * time.Millisecond, Stretch: 4, Goal: 3 * time.Second}
+}
+
+// At a crest urgent work must pass batch work that arrived before it, and work
+// that is late already must not hold up work that is not.
+func TestOrderAtCrest(t *testing.T) {
+	is := is.New(t)
+	now := model.Time(100 * time.Second)
+	at := func(ago time.Duration) time.Duration { return time.Duration(now) - ago }
+	in := []Input{urgent(at(100 * time.Millisecond)), batch(at(5 * time.Second)), batch(at(time.Second)), urgent(at(2 * time.Second)), batch(at(12 * time.Second)), batch(at(60 * time.Second))}
+	keys := make([]int64, len(in))
+	for i := range in {
+		keys[i] = Key(now, in[i])
+	}
+	is.True(slices.IsSorted(keys))
+}
+
+// Replays a crest of 2.2 times the room: with first come, first served every
+// urgent task behind the backlog is late; by rank none of the urgent ones is.
+func TestUrgentWorkAtCrest(t *testing.T) {
+	is := is.New(t)
+	late := func(order func(now model.Time, waiting []Input) int) (n int) {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		const slots = 40
+		var waiting []Input
+		var free [slots]model.Time
+		for now := model.Time(0); now < model.Time(6*time.Second); now = now.Add(5 * time.Millisecond) {
+			if rnd.IntN(3) == 0 {
+				waiting = append(waiting, urgent(time.Duration(now)))
+			}
+			if rnd.IntN(3) == 0 {
+				waiting = append(waiting, batch(time.Duration(now)))
+			}
+			for i := range free {
+				if free[i] > now || len(waiting) == 0 {
+					continue
+				}
+				at := order(now, waiting)
+				in := waiting[at]
+				waiting = slices.Delete(waiting, at, at+1)
+				free[i] = now.Add(in.Remaining)
+				if in.Urgent && free[i] > in.Arrived.Add(in.Objective()) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	first := late(func(model.Time, []Input) int { return 0 })
+	ranked := late(func(now model.Time, waiting []Input) int {
+		best := 0
+		for i := range waiting {
+			if Key(now, waiting[i]) < Key(now, waiting[best]) {
+				best = i
+			}
+		}
+		return best
+	})
+	is.True(first > 50)
+	is.Equal(ranked, 0)
+}
