Restarted workers: keep runs of the new life, acknowledge none of its ends unseen

(2) runs at a worker that was cut off looked as if they stood still. (3) the first renewal after a cut waited at the worker while its lease ran out. Change: a renewal after a failed one acknowledges nothing and does not wait; the new life's list decides on its runs; only a worker's answers tell of progress.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -208,6 +208,40 @@
 	is.Equal(s.wrong, nil)
 }
 
+// Runs at a worker that was cut off for a while looked as if they stood still,
+// and were stopped when it was back.
+func TestRunsOfCutOffWorkerAreKept(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	s.put("00000000000000fb", "batch", jobs.Step{Tasks: 4, Need: cores(1), EstimateMs: 9000})
+	s.run(time.Second)
+	n.away[s.workers[0]] = true
+	s.run(4500 * time.Millisecond)
+	delete(n.away, s.workers[0])
+	s.run(time.Second)
+	for _, p := range n.cell.list[0].runs {
+		is.Equal(p.phase, phaseRunning)
+	}
+	is.Equal(len(s.workers[0].runs), 4)
+}
+
+// A run that a restarted worker had begun in its new life was taken for one of
+// its old life, and started a second time.
+func TestRunsOfNewLifeAreKept(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 2)
+	w := s.workers[0]
+	n.away[s.workers[1]] = true
+	s.run(time.Second)
+	w.crash(time.Millisecond)
+	s.run(2 * time.Millisecond)
+	s.put("00000000000000bc", "batch", jobs.Step{Tasks: 4, Need: cores(1), EstimateMs: 2000})
+	s.run(10 * time.Second)
+	v, _ := n.cell.Job("00000000000000bc")
+	is.Equal(v.State, jobs.Completed)
+	is.Equal(s.wrong, nil)
+}
+
 // Two instances that claimed at the same end of the stream must not both win.
 func TestOneClaimWins(t *testing.T) {
 	is := is.New(t)
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -240,7 +240,8 @@
 			if p.phase == phaseStopping && !p.stopping && !p.barred && c.now.Sub(p.stopSentAt) >= stopRetry {
 				c.sendStop(p)
 			}
-			if p.phase == phaseRunning && p.group != nil && c.now.Sub(p.percentAt) > c.standstill(p.group) {
+			// Only answers of the worker tell; one that is cut off may work on.
+			if p.phase == phaseRunning && p.group != nil && w.answeredAt.Sub(p.percentAt) > c.standstill(p.group) {
 				c.stop(p, "no progress")
 			}
 		}
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -52,14 +52,21 @@
 
 // peek asks a worker for its runs without waiting for one to end.
 func (c *Cell) peek(w *worker) {
-	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, AckedEnd: w.durableEnd, Peek: true})
+	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true})
 }
 
 func (c *Cell) renew(w *worker) {
 	w.renewing, w.renewSent = true, c.now
 	r := Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, AckedEnd: w.durableEnd, LeaseUntil: c.leaseUntil(w)}
 	switch {
-	case !w.fenced || w.seenEnd > w.durableEnd:
+	case !w.fenced || w.seenEnd > w.durableEnd || w.failedCalls > 0:
+		// The answer is needed at once; a worker that is back has little left of
+		// its lease.
+		if w.failedCalls > 0 {
+			// It may have started again. The number of an end of its old life would
+			// make it forget ends of the new one, unseen.
+			r.AckedEnd = 0
+		}
 	case len(w.runs) > 0:
 		r.Wait = busyWait
 	default:
@@ -126,7 +133,8 @@
 		c.log("worker reached", "", Fields{Worker: w.info.Name, Epoch: c.epoch, Count: len(e.Running), Age: c.now.Sub(w.answeredAt)})
 	}
 	w.failedCalls, w.answeredAt = 0, c.now
-	if w.boot != 0 && e.Boot != 0 && e.Boot != w.boot {
+	reborn := w.boot != 0 && e.Boot != 0 && e.Boot != w.boot
+	if reborn {
 		c.workerReborn(w)
 	}
 	if e.Boot != 0 {
@@ -140,7 +148,7 @@
 			c.runEnded(w, end)
 		}
 	}
-	c.compareRuns(w, e)
+	c.compareRuns(w, e, reborn)
 	c.judgePace(w)
 	c.endsDirty = c.endsDirty || w.seenEnd > w.durableEnd
 }
@@ -184,20 +192,18 @@
 	return "slow"
 }
 
-// workerReborn drops what an earlier life of a worker ran. A start that has no
-// answer yet might still reach the new life and is stopped there.
+// workerReborn notes that a worker's process has started again. Its ends are
+// counted anew. What it ran before is over, but it may have begun some runs in
+// its new life already, so its list decides. A stop that it accepted before
+// does not bar a start that is still under way.
 func (c *Cell) workerReborn(w *worker) {
 	c.log("worker restarted", "", Fields{Worker: w.info.Name, Count: len(w.runs)})
 	for _, p := range sortedRuns(w) {
 		switch p.phase {
-		case phaseStarting:
-			c.stop(p, "worker restarted during the start")
 		case phasePlanned:
 			c.dropUnsent(p, "worker restarted")
-		default:
-			if w.runs[p.ref] == p {
-				c.runLost(p, "worker restarted")
-			}
+		case phaseStopping:
+			p.barred = false
 		}
 	}
 	w.fenced, w.seenEnd, w.durableEnd = false, 0, 0
@@ -207,7 +213,7 @@
 
 // compareRuns brings the placements at a worker in line with the runs that it
 // lists.
-func (c *Cell) compareRuns(w *worker, e Renewed) {
+func (c *Cell) compareRuns(w *worker, e Renewed, reborn bool) {
 	listed := make(map[jobs.TaskRef]bool, len(e.Running))
 	for i := range e.Running {
 		r := &e.Running[i]
@@ -226,7 +232,7 @@
 		if r.Percent > p.percent || p.percentAt == 0 {
 			p.percent, p.percentAt = r.Percent, c.now
 		}
-		if p.phase == phaseRunning && (p.group.job.state.Final() || p.group.tasks[p.ref.Index].state == taskDone && !p.group.step.Gang) {
+		if p.phase == phaseRunning && p.notNeeded() {
 			c.stop(p, "job "+string(p.group.job.state))
 		}
 	}
@@ -240,15 +246,28 @@
 			c.runLost(p, "not at the worker")
 		case phaseRunning, phaseStopping:
 			// Only a list that was asked for after the confirmation tells.
-			if p.confirmedAt != 0 && e.SentAt >= p.confirmedAt {
-				if p.unlisted++; p.unlisted >= 2 || p.phase == phaseStopping {
-					c.runLost(p, "not listed")
-				}
+			if p.confirmedAt == 0 || e.SentAt < p.confirmedAt {
+				continue
+			}
+			if p.unlisted++; p.phase == phaseRunning && reborn {
+				c.runLost(p, "worker restarted")
+			} else if p.phase == phaseStopping && p.barred || p.unlisted >= 2 {
+				c.runLost(p, "not listed")
 			}
 		}
 	}
 }
 
+// notNeeded reports whether a run is to be stopped. The members of a gang that is
+// done end by themselves.
+func (p *placement) notNeeded() bool {
+	done := p.group.tasks[p.ref.Index].state == taskDone
+	if p.group.step.Gang && done {
+		return false
+	}
+	return done || p.group.job.state.Final()
+}
+
 // stopForeign ends a run that this owner did not place. An earlier owner's
 // placement that was given up is the usual cause.
 func (c *Cell) stopForeign(w *worker, r *RunStatus, known *placement) {
