--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -28,8 +28,6 @@
 	claimSpread = 150 * time.Millisecond
 	// claimRetry is the pause after a lost or failed claim.
 	claimRetry = 400 * time.Millisecond
-	// yieldPause keeps an owner that gave the cell up from claiming it at once.
-	yieldPause = 8 * time.Second
 
 	// clockRate bounds how much slower than the owner's clock a worker's may
 	// run, as the platform promises.
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -117,7 +117,7 @@
 	changed := claim.Owner != c.claim.Owner || claim.Epoch != c.claim.Epoch || claim.Released != c.claim.Released
 	c.claim, c.ownerSeen = claim, c.now
 	if changed {
-		c.claimAt, c.ownerGone = c.now, false
+		c.ownerGone = false
 		c.log("owner changed", "", Fields{Epoch: claim.Epoch, Reason: claim.Owner, Outcome: releasedText(claim.Released)})
 	}
 }
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -210,8 +210,8 @@
 	}
 }
 
-// taskDone notes that a task is done, for good.
-func (c *Cell) taskIsDone(g *group, index int) {
+// completeTask notes that a task is done, for good.
+func (c *Cell) completeTask(g *group, index int) {
 	t := &g.tasks[index]
 	if t.state == taskDone {
 		return
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -16,9 +16,6 @@
 	if c.now.Sub(c.streamAt) > readFresh {
 		return // the store can't be read, so the owner's silence means nothing
 	}
-	if c.yielded != 0 && c.now.Sub(c.yielded) < yieldPause {
-		return
-	}
 	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
 	if silent < limit+time.Duration(c.cfg.Spread*float64(claimSpread)) {
 		return
@@ -137,7 +134,7 @@
 		}
 	}
 	if in.release {
-		c.role, c.settled, c.yielded = roleFollower, false, c.now
+		c.role, c.settled = roleFollower, false
 		c.claim.Released = true
 		c.log("cell released", "", Fields{Epoch: c.epoch})
 		c.emit(RoleChanged{Epoch: c.epoch})
@@ -219,9 +216,8 @@
 	c.emit(a)
 }
 
-// wantsRelease reports whether the owner gives the cell up. It waits for the
-// answers of starts, so that the successor finds few of them in doubt.
-func (c *Cell) wantsRelease() bool { return c.draining || c.yielding }
+// wantsRelease reports whether the owner gives the cell up.
+func (c *Cell) wantsRelease() bool { return c.draining }
 
 // snapshot returns the entry that describes a job.
 func (j *job) snapshot() *jobs.Progress {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -203,11 +203,11 @@
 		if other := g.tasks[index].placement; other != nil {
 			c.stop(other, "another run is done")
 		}
-		c.taskIsDone(g, index)
+		c.completeTask(g, index)
 		return
 	}
 	for i := range g.tasks {
-		c.taskIsDone(g, i)
+		c.completeTask(g, i)
 	}
 }
 
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -135,7 +135,7 @@
 		c.reserve(g, q, d)
 		return
 	}
-	if c.heldElsewise(g, got, candidates, workers) {
+	if c.hasLeftover(g, got, candidates, workers) {
 		return
 	}
 	run := 0
@@ -180,9 +180,9 @@
 	}
 }
 
-// heldElsewise reports whether a chosen worker still has an earlier run of the
-// same group's tasks that nobody placed.
-func (c *Cell) heldElsewise(g *group, got []int, candidates []fit.Candidate, workers []*worker) bool {
+// hasLeftover reports whether a chosen worker still has a run of one of the
+// group's tasks that this owner did not place.
+func (c *Cell) hasLeftover(g *group, got []int, candidates []fit.Candidate, workers []*worker) bool {
 	for _, at := range got {
 		for i := range g.tasks {
 			p := workers[candidates[at].Index].runs[g.ref(i)]
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -209,7 +209,6 @@
 	epoch      int64
 	maxEpoch   int64
 	claim      jobs.Claim // newest one
-	claimAt    model.Time // when it was read
 	ownerSeen  model.Time // newest entry of the owner
 	streamEnd  int64
 	streamAt   model.Time // sending time of the newest complete read
@@ -217,7 +216,6 @@
 	ownerGone  bool       // the owner has certainly ended
 	tryAt      model.Time // no claim before
 	draining   bool
-	yielded    model.Time // when this instance gave the cell up
 	evidence   model.Time // when this instance last certainly was the owner
 	ownerSince model.Time
 	settled    bool // owner that knows every job
@@ -239,7 +237,6 @@
 	lastSent     model.Time
 	planned      []*placement // to be in the next append
 	released     bool
-	yielding     bool          // gives the cell up, since another instance can serve it better
 	storeRefuses bool          // the last append was refused
 	usualAppend  time.Duration // smoothed
 	endsDirty    bool          // workers listed ends that are not in an append yet
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,8 @@
 		workers: map[model.WorkerName]jobs.WorkerInfo{},
 		peers:   map[string]*link.Peer{},
 	}
+	// Until Run begins, the instance knows nothing and is not loaded.
+	n.cell, n.life = n.newCell(), &life{ctx: context.Background(), cancel: func() {}}
 	n.client = link.NewClient(incarnation, peers{n}, n.linkChanged)
 	n.submits = newSubmitter(n)
 	return n
@@ -214,9 +216,7 @@
 // restart builds the cell anew from the store.
 func (n *Node) restart(ctx context.Context) {
 	n.mu.Lock()
-	if n.life != nil {
-		n.life.cancel()
-	}
+	n.life.cancel()
 	l := &life{}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	n.life, n.cell = l, n.newCell()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -37,7 +37,7 @@
 		return false, "draining"
 	case n.config.Load() == nil:
 		return false, "no configuration"
-	case l == nil || !l.loaded.Load():
+	case !l.loaded.Load():
 		return false, "cell not loaded"
 	case n.storeAge() > storeSilence:
 		return false, "store out of reach"
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -28,7 +28,6 @@
 	GangWait    time.Duration // how long a member of a gang waits for the others
 	Retention   time.Duration // how long a finished job's state is kept for callers
 	Grace       time.Duration // from SIGTERM to SIGKILL
-	ConfigBound time.Duration // within which a new configuration must be in force
 	MemoryLimit int64         // bytes of the process
 	LogLevel    string
 }
