--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,13 +5,12 @@
 
 import (
 	"context"
-	"fmt"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/gentianpick/gentianpick/internal/cell"
@@ -118,11 +117,9 @@
 }
 
 func (n *Node) newCell() *cell.Cell {
-	h := fnv.New32a()
-	fmt.Fprint(h, n.self)
 	return cell.New(cell.Config{
 		Name: cellName, Self: n.self, Address: n.set.LinkListen, DataCentre: n.set.DataCentre,
-		Lease: n.set.Lease, GangWait: n.set.GangWait, Spread: float64(h.Sum32()%1000) / 1000, Retention: n.set.Retention + retentionMargin,
+		Lease: n.set.Lease, GangWait: n.set.GangWait, Spread: float64(xxhash.Sum64String(n.self)%1000) / 1000, Retention: n.set.Retention + retentionMargin,
 	})
 }
 
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/gentianpick/gentianpick/internal/cell"
@@ -34,8 +34,10 @@
 	// latencyWeight is the weight of one append in the usual time.
 	latencyWeight = 0.3
 	// ownerPatience is how long the owner may take to store a submission before
-	// the instance stores it itself as well.
-	ownerPatience = 300 * time.Millisecond
+	// the instance stores it itself as well. The owner refuses what it can't
+	// store, and its death shows sooner by the lost link; with a slow store,
+	// appends of all instances would only make it slower.
+	ownerPatience = 600 * time.Millisecond
 	// appendTimeout bounds one attempt at an append. A slow store takes a
 	// fraction of a second.
 	appendTimeout = 3 * time.Second
@@ -154,9 +156,8 @@
 }
 
 func newSubmitter(n *Node) *submitter {
-	h := fnv.New32a()
-	h.Write([]byte(n.self))
-	return &submitter{n: n, stream: store.SubmissionsPart(int(h.Sum32() % uint32(max(1, n.set.SubmissionStreams))))}
+	part := xxhash.Sum64String(n.self) % uint64(max(1, n.set.SubmissionStreams))
+	return &submitter{n: n, stream: store.SubmissionsPart(int(part))}
 }
 
 // result is the answer of one way to store an entry.
