A job that ends by a lost run is unknown, not failed

Change: it is answered unknown with worker_lost, as keys are. Test: TestFaults/silent_unguarded, which failed; internal/core passes with -race.

--- a/internal/core/doubts.go
+++ b/internal/core/doubts.go
@@ -156,5 +156,7 @@
 	if t.superseded {
 		return
 	}
+	// Nobody knows how a lost run ended, so a job that it fails has not failed.
+	t.j.lostRun = true
 	c.retryTask(t, why)
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -42,6 +42,7 @@
 	active  int // tasks that are placed
 
 	everStarted   bool // some task may have started
+	lostRun       bool // the run of some task was lost
 	answer        *model.Answer
 	endedAt       model.Time
 	finishDurable bool
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -84,6 +84,8 @@
 	switch {
 	case j.ended() && j.failed == 0:
 		c.endJob(j, model.Answer{Outcome: model.OutcomeDone, Result: j.result()})
+	case j.ended() && j.lostRun && !c.atFault(j):
+		c.endJob(j, model.Answer{Outcome: model.OutcomeUnknown, Code: model.CodeWorkerLost, Message: string(j.firstFailure())})
 	case j.ended():
 		code := model.CodeTaskFailed
 		if c.atFault(j) {
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -217,6 +217,7 @@
 		c.maybeEndJob(j)
 	default:
 		c.forgetTask(t.worker, t.id)
+		t.j.lostRun = false
 		c.retryTask(t, st.Message)
 	}
 }
