A claim may take an epoch above one that the log has forgotten

The log had forgotten the claim of epoch 2, and the new instances of the data centre began at epoch 1 again. The workers knew epoch 2, so the owner of epoch 1 could not act, and consent to epoch 2 was refused by everybody who had heard of it: nobody ever acted again.

Change: an epoch gets known only after its claim was in the log, so a later read to the tail that does not show it proves that the log has forgotten it. The next claim then takes an epoch above the known one, and a claim is accepted with any epoch above the current one. Its owner always waits lease and margin, and unguarded workers get no work until every elector knows the new epoch.

--- a/internal/core/histories_test.go
+++ b/internal/core/histories_test.go
@@ -67,6 +67,7 @@
 	1027: "a takeover was settled before the workers were known",
 	1164: "a key ran again after its outcome was lost",
 	4807: "a key ran again after all who held its intent and its worker were lost",
+	4621: "the log forgot a claim whose epoch the workers knew, and nobody could act",
 	448:  soleElector, 520: soleElector, 750: soleElector, 799: soleElector, 821: soleElector, 1321: soleElector,
 	233: soleElector, 757: soleElector, 1198: soleElector, 1244: soleElector,
 }
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -112,7 +112,7 @@
 // foldSnapshot folds one part. Once every part of a snapshot was read whose
 // writer had folded all that was forgotten, the folded state has no gap.
 func (c *Core) foldSnapshot(s *record.Snapshot) {
-	if s.Claim != nil && c.lease.FoldSnapshotClaim(c.now, *s.Claim) {
+	if s.Claim != nil && c.lease.FoldClaim(c.now, *s.Claim) {
 		c.syncOwner()
 	}
 	for _, e := range s.Entries {
--- a/internal/ownership/fold.go
+++ b/internal/ownership/fold.go
@@ -5,20 +5,11 @@
 	"github.com/gentianpick/gentianpick/internal/record"
 )
 
-// FoldClaim folds a claim in offset order. It is accepted only if its epoch
-// follows the current one.
+// FoldClaim folds a claim in offset order, or that of a snapshot. It is
+// accepted only if its epoch is above the current one, so the first in offset
+// order wins for everybody. It may skip epochs whose claims the log has
+// forgotten.
 func (s *State) FoldClaim(now model.Time, c record.Claim) (accepted bool) {
-	s.touch(now)
-	if c.Epoch != s.epoch+1 {
-		return false
-	}
-	s.accept(now, c, false)
-	return true
-}
-
-// FoldSnapshotClaim folds the claim of a snapshot, which may skip epochs whose
-// claims the log has forgotten.
-func (s *State) FoldSnapshotClaim(now model.Time, c record.Claim) (accepted bool) {
 	s.touch(now)
 	if c.Epoch <= s.epoch {
 		return false
@@ -50,7 +41,7 @@
 	self := s.cfg.Self.Incarnation
 	first := s.claim == nil && !skipped
 	sameOwner := s.claim != nil && !skipped && s.claim.Owner.Incarnation == c.Owner.Incarnation
-	if !first && !s.released && !sameOwner {
+	if !first && (!s.released || skipped) && !sameOwner {
 		// A release does not shorten a wait that an earlier claim began: the
 		// owner before the one that released may still have evidence.
 		s.safeFrom = max(s.safeFrom, now.Add(s.cfg.Lease+s.cfg.Margin))
@@ -58,8 +49,13 @@
 	if !sameOwner {
 		clear(s.vouchers)
 		if c.Owner.Incarnation == self {
-			s.prevElectors = s.electors()
-			s.takenAt, s.afterRelease = c.Epoch, first || s.released
+			s.prevElectors, s.prevUnknown = s.electors(), skipped
+			if skipped {
+				// The electors of a forgotten claim that are still alive are
+				// among these.
+				s.prevElectors = union(s.prevElectors, c.Electors)
+			}
+			s.takenAt, s.afterRelease = c.Epoch, first || (s.released && !skipped)
 			s.safeSince = none
 		}
 	}
--- a/internal/ownership/safety.go
+++ b/internal/ownership/safety.go
@@ -57,7 +57,11 @@
 			n++
 		}
 	}
-	if s.afterRelease || n >= blocking(len(s.prevElectors)) {
+	need := blocking(len(s.prevElectors))
+	if s.prevUnknown {
+		need = len(s.prevElectors)
+	}
+	if s.afterRelease || n >= need {
 		s.safeSince = now
 	}
 }
--- a/internal/ownership/state.go
+++ b/internal/ownership/state.go
@@ -109,6 +109,7 @@
 	claim        *record.Claim // claim of epoch; nil if epoch is 0
 	released     bool          // epoch was released
 	prevElectors []model.Member
+	prevUnknown  bool       // the own claim skipped epochs, whose electors are not known
 	safeFrom     model.Time // when no earlier owner has evidence any more, at the latest
 	takenAt      uint64     // epoch in which this instance took the lease from another
 	afterRelease bool       // it was vacant or released then
@@ -137,7 +138,8 @@
 
 	// What others said.
 	heardOwner model.Time
-	seen       uint64 // highest epoch known to anybody
+	seen       uint64     // highest epoch known to anybody
+	seenAt     model.Time // when seen was last raised
 	hintEpoch  uint64
 	hint       model.Member // owner of hintEpoch, from its heartbeat or a peer's reply
 
@@ -158,7 +160,7 @@
 	return &State{
 		cfg: cfg, lastNow: none, phase: PhaseFollower, safeFrom: none, lastTail: none,
 		vouchers: map[model.Incarnation]model.Time{}, passed: map[model.Incarnation]uint64{}, safeSince: none, refusedAt: none, majorityAt: none,
-		suspendedSince: none, vouchedUntil: none, heardOwner: none, vacantSince: none,
+		suspendedSince: none, vouchedUntil: none, seenAt: none, heardOwner: none, vacantSince: none,
 		lastClaim: none, releasedAt: none,
 	}
 }
@@ -223,9 +225,16 @@
 // acting if it is above its own, until the log shows whose it is.
 func (s *State) SeenEpoch(now model.Time, epoch uint64) {
 	s.touch(now)
-	s.seen = max(s.seen, epoch)
+	if epoch > s.seen {
+		s.seen, s.seenAt = epoch, now
+	}
 }
 
+// forgotten reports whether an epoch above the current one is known whose claim
+// the log no longer holds. The claim was in the log before anybody knew its
+// epoch, so a later read to the tail would have shown it.
+func (s *State) forgotten() bool { return s.seen > s.epoch && s.lastTail > s.seenAt }
+
 // owns reports whether the log's current claim is this instance's.
 func (s *State) owns() bool { return s.inForce(s.cfg.Self) }
 
@@ -250,6 +259,18 @@
 	return slices.ContainsFunc(ms, func(m model.Member) bool { return m.Incarnation == inc })
 }
 
+// union returns the members of a and b, sorted.
+func union(a, b []model.Member) []model.Member {
+	out := slices.Clone(a)
+	for _, m := range b {
+		if !hasMember(out, m.Incarnation) {
+			out = append(out, m)
+		}
+	}
+	sortMembers(out)
+	return out
+}
+
 func sameMembers(a, b []model.Member) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/ownership/step.go
+++ b/internal/ownership/step.go
@@ -72,9 +72,12 @@
 	if s.recent(now, s.vouchedAt(now)) {
 		s.majorityAt = now
 	}
-	if !s.atTail || !s.fresh(now) || s.seen > s.epoch || !hasMember(electors, s.cfg.Self.Incarnation) {
+	if !s.atTail || !s.fresh(now) || !hasMember(electors, s.cfg.Self.Incarnation) {
 		return nil
 	}
+	if s.seen > s.epoch && !s.forgotten() {
+		return nil // a successor may have claimed
+	}
 	if s.lastClaim != none && now.Sub(s.lastClaim) < reclaimEvery {
 		return nil
 	}
@@ -82,11 +85,13 @@
 		if s.lastTail <= p.at {
 			return nil
 		}
-		// The same claim again: whichever copy lands, the electors are known.
-		return s.appendClaim(now, p.claim)
+		if p.claim.Epoch > s.seen {
+			// The same claim again: whichever copy lands, the electors are known.
+			return s.appendClaim(now, p.claim)
+		}
 	}
 	unvouched := now.Sub(s.majorityAt) > 2*s.cfg.Lease && s.recent(now, s.refusedAt)
-	if sameMembers(s.nextElectors(electors), s.claim.Electors) && !unvouched {
+	if sameMembers(s.nextElectors(electors), s.claim.Electors) && !unvouched && s.seen <= s.epoch {
 		return nil
 	}
 	return s.appendClaim(now, s.nextClaim(electors))
@@ -116,6 +121,10 @@
 		}
 		s.pending = nil // the log was read to its tail without it
 	}
+	if s.seen > s.epoch && !s.forgotten() {
+		s.asking = nil
+		return nil
+	}
 	if !s.everTail || !s.atTail || now < s.vouchedUntil || !hasMember(electors, s.cfg.Self.Incarnation) {
 		s.asking = nil
 		return nil
@@ -138,8 +147,8 @@
 // campaign asks for consent, or claims if it has it or has asked in vain for
 // long enough. A recent refusal means that somebody still hears the owner.
 func (s *State) campaign(now model.Time, electors []model.Member) []Action {
-	if s.asking == nil {
-		s.asking = &campaign{epoch: s.epoch + 1, since: now, asked: none, refusedAt: none,
+	if s.asking == nil || s.asking.epoch != s.KnownEpoch()+1 {
+		s.asking = &campaign{epoch: s.KnownEpoch() + 1, since: now, asked: none, refusedAt: none,
 			grants: map[model.Incarnation]bool{s.cfg.Self.Incarnation: true}}
 	}
 	a := s.asking
@@ -185,7 +194,7 @@
 }
 
 func (s *State) nextClaim(electors []model.Member) record.Claim {
-	return record.Claim{Epoch: s.epoch + 1, Owner: s.cfg.Self, Electors: s.nextElectors(electors)}
+	return record.Claim{Epoch: s.KnownEpoch() + 1, Owner: s.cfg.Self, Electors: s.nextElectors(electors)}
 }
 
 // appendClaim returns the append of a claim. Its effect is known only when the
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -48,7 +48,7 @@
 }
 
 // Claim takes the scheduler lease of a data centre. It is accepted only if
-// Epoch is one above the current epoch; the first in offset order wins.
+// Epoch is above the current epoch; the first in offset order wins.
 type Claim struct {
 	Epoch    uint64         `json:"epoch"`
 	Owner    model.Member   `json:"owner"`
