--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -29,12 +29,18 @@
 		Usage: "run one instance on the users' platform",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "`FILE` with the platform's settings; default: as the platform says"},
+			&cli.BoolFlag{Name: "standalone", Usage: "run with a stand-in platform and 8 stand-in workers in this process"},
+			&cli.StringFlag{Name: "http", Usage: "standalone: `IP:port` for callers", Value: defaultHTTP},
+			&cli.BoolFlag{Name: "demo-exit", Usage: "standalone: stop after the sample jobs"},
 		},
 		Action: runOnPlatform,
 	}
 }
 
 func runOnPlatform(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool("standalone") {
+		return runOnStandin(ctx, cmd)
+	}
 	path := cmd.String("settings")
 	if path == "" {
 		path = platform.SettingsPath()
@@ -47,11 +53,17 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryLimit)))
 	t := node.NewTelemetry(cmd.Root().Writer, set.LogLevel, set.Name)
 	defer t.Close()
+	stop := make(chan struct{})
+	return runNode(ctx, newNode(set, t), t, stop)
+}
+
+// newNode returns an instance that speaks to the platform.
+func newNode(set node.Settings, t *node.Telemetry) *node.Node {
 	var storeCalls, workerCalls, eligibilityCalls httpjson.Traffic
 	t.Calls("store", &storeCalls)
 	t.Calls("worker", &workerCalls)
 	t.Calls("eligibility", &eligibilityCalls)
-	n := node.New(set, node.Deps{
+	return node.New(set, node.Deps{
 		Store:       platform.NewStore(set.StoreAddress, &storeCalls),
 		Workers:     platform.NewWorkers(&workerCalls),
 		Eligibility: platform.NewEligibility(set.EligibilityAddress, &eligibilityCalls),
@@ -59,7 +71,10 @@
 		Telemetry:   t,
 		Now:         bootTime,
 	}, set.Name+"-"+string(newIncarnation()))
-	stop := make(chan struct{})
+}
+
+// runNode serves until a signal ends it or stop is closed.
+func runNode(ctx context.Context, n *node.Node, t *node.Telemetry, stop chan struct{}) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
--- /dev/null
+++ b/internal/cli/runstandalone.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianpick/gentianpick/internal/httpjson"
+	"github.com/gentianpick/gentianpick/internal/node"
+	"github.com/gentianpick/gentianpick/platform/standin"
+)
+
+// Settings of the instance in standalone mode, as small deployments have them.
+const (
+	standaloneLease     = 6 * time.Second
+	standaloneGangWait  = 3 * time.Second
+	standaloneRetention = 2 * time.Minute
+	standaloneGrace     = 2 * time.Second
+)
+
+// runOnStandin runs one instance with a stand-in platform and workers in this
+// process, and submits sample jobs.
+func runOnStandin(ctx context.Context, cmd *cli.Command) error {
+	f, err := standin.Start(standaloneWorkers)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	set := node.Settings{
+		Name: "standalone", DataCentre: "z", CallerListen: cmd.String("http"), StoreAddress: f.StoreAddress, EligibilityAddress: f.EligibilityAddress,
+		SubmissionStreams: 1, Lease: standaloneLease, GangWait: standaloneGangWait, Retention: standaloneRetention, Grace: standaloneGrace,
+	}
+	for _, address := range []*string{&set.ReadyListen, &set.LinkListen, &set.MetricsListen} {
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	if set.CallerListen == anyPort {
+		if set.CallerListen, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	t := node.NewTelemetry(cmd.Root().ErrWriter, set.LogLevel, set.Name)
+	defer t.Close()
+	n, stop, demoed := newNode(set, t), make(chan struct{}), make(chan error, 1)
+	go func() {
+		caller := &standin.Caller{Base: "http://" + set.CallerListen, HTTP: httpjson.NewClient(1)}
+		err := caller.Demo(ctx, cmd.Root().Writer, demoWait)
+		if err != nil {
+			fmt.Fprintln(cmd.Root().Writer, err)
+		}
+		demoed <- err
+		if cmd.Bool("demo-exit") {
+			close(stop)
+		}
+	}()
+	if err := runNode(ctx, n, t, stop); err != nil || !cmd.Bool("demo-exit") {
+		return err
+	}
+	return <-demoed
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
--- a/internal/cli/serve_test.go
+++ b/internal/cli/serve_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/platform/standin"
 )
 
 // Guards against a standalone mode that doesn't run all four classes, doesn't
@@ -36,6 +38,18 @@
 	is.True(strings.Contains(stderr, "recorded was"))
 }
 
+// Guards against a platform instance whose standalone mode does not complete
+// the sample jobs, or does not stop by itself.
+func TestRunStandalone(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := run("run", "--standalone", "--http", "127.0.0.1:0", "--demo-exit")
+	is.Equal(code, ExitOK)
+	for _, job := range standin.SampleJobs {
+		is.True(strings.Contains(out, job.Path+": accepted"))
+		is.True(strings.Contains(out, job.Path+": completed"))
+	}
+}
+
 // Guards against an instance that starts with settings it can't use.
 func TestServeErrors(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.jsonc")
@@ -49,6 +63,8 @@
 		{"both", []string{"serve", "--standalone", "--settings", bad}, ExitUsage},
 		{"no file", []string{"serve", "--settings", bad + "x"}, ExitError},
 		{"bad file", []string{"serve", "--settings", bad}, ExitError},
+		{"run without settings", []string{"run", "--settings", bad + "x"}, ExitError},
+		{"run at a bad address", []string{"run", "--standalone", "--http", "here", "--demo-exit"}, ExitError},
 		{"bad address", []string{"serve", "--standalone", "--http", "here"}, ExitError},
 		{"record to a directory", []string{"serve", "--standalone", "--record", t.TempDir()}, ExitError},
 		{"replay without a file", []string{"replay"}, ExitUsage},
