Offers wait for a slow store that answers other calls

The owner refused offers behind an append without an answer for 0.6 s; the slow store answered that append 50 ms later. Their instances stored the submissions themselves, and the owner read and placed them one or two slow appends later.

Change: the tick tells the cell when the store last answered any call of the instance. With an append open for 0.6 s, offers are refused only if the store answers nothing else either; a slow one gets 1.3 s, which with the next append fits into the time that callers wait.

TestOffersWaitForSlowStore failed before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -99,7 +99,7 @@
 }
 
 func (c *Cell) tick(e Tick) {
-	c.unixMs = e.UnixMs
+	c.unixMs, c.storeAnswered = e.UnixMs, e.StoreAnswered
 	switch c.role {
 	case roleFollower:
 		c.considerClaim()
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -160,6 +160,32 @@
 	}
 }
 
+// Offers that waited behind the first slow append were refused although the
+// store answered every call. Their instances then stored them themselves, and
+// the jobs came seconds later.
+func TestOffersWaitForSlowStore(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 2)
+	s.storeSlow = 800 * time.Millisecond
+	for n.cell.inFlight == nil || n.cell.now.Sub(n.cell.inFlight.sentAt) < 300*time.Millisecond {
+		s.run(time.Millisecond) // until the append of a heartbeat is under way
+	}
+	settled := 0
+	for i := range 5 {
+		j := jobs.Job{ID: jobs.ID(fmt.Sprintf("%016x", i+1)), Queue: "urgent", Steps: []jobs.Step{{Tasks: 1, Need: cores(1), EstimateMs: 300}}}
+		s.newest[j.ID] = j
+		ticket := uint64(i + 1)
+		s.offers[ticket] = func(o OfferSettled) {
+			is.True(o.Stored)
+			settled++
+		}
+		n.send(n.life, JobOffered{Ticket: ticket, Job: j, Value: jobs.Encode(j)})
+		s.run(100 * time.Millisecond)
+	}
+	s.run(2 * time.Second)
+	is.Equal(settled, 5)
+}
+
 // An append that was under way while a worker started again made the owner
 // acknowledge the ends of the new life by the numbers of the old one, unseen.
 func TestRestartedWorkerCountsItsEndsAnew(t *testing.T) {
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -188,7 +188,11 @@
 }
 
 // Tick lets time pass. It comes every TickInterval.
-type Tick struct{ UnixMs int64 }
+type Tick struct {
+	UnixMs int64
+	// StoreAnswered is when the store last answered any call of the instance.
+	StoreAnswered model.Time
+}
 
 // DrainStarted says that this instance is about to stop.
 type DrainStarted struct{}
--- a/internal/cell/offers.go
+++ b/internal/cell/offers.go
@@ -60,7 +60,7 @@
 	if c.inFlight != nil {
 		pending = c.now.Sub(c.inFlight.sentAt)
 	}
-	return admission.Accepts(pending, c.usualAppend, c.storeRefuses)
+	return admission.Accepts(pending, c.usualAppend, c.now.Sub(c.storeAnswered), c.storeRefuses)
 }
 
 // refuseLateOffers refuses the offers that wait behind an append without an
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -239,9 +239,11 @@
 	released     bool
 	storeRefuses bool          // the last append was refused
 	usualAppend  time.Duration // smoothed
-	endsDirty    bool          // workers listed ends that are not in an append yet
-	forgetAt     model.Time
-	forgotten    []string // keys that the next append removes
+	// storeAnswered is when the store last answered any call, as of the last tick.
+	storeAnswered model.Time
+	endsDirty     bool // workers listed ends that are not in an append yet
+	forgetAt      model.Time
+	forgotten     []string // keys that the next append removes
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -302,7 +302,7 @@
 			return
 		case <-t.C:
 			select {
-			case n.events <- batch{events: []cell.Event{cell.Tick{UnixMs: time.Now().UnixMilli()}}}:
+			case n.events <- batch{events: []cell.Event{cell.Tick{UnixMs: time.Now().UnixMilli(), StoreAnswered: model.Time(n.storeOK.Load())}}}:
 			default: // the reducer is behind and will learn the time later
 			}
 		}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -25,9 +25,6 @@
 	hedgeAfter = 120 * time.Millisecond
 	// doubtRetry is the pause before an entry in doubt is tried again.
 	doubtRetry = 100 * time.Millisecond
-	// storeAnswering is how old the store's newest answer may be for it to count
-	// as reachable. An instance reads several times in that time.
-	storeAnswering = 450 * time.Millisecond
 	// hedgeFactor times the usual time of an append is waited at least, since
 	// repetitions make a slow store slower.
 	hedgeFactor = 3
@@ -216,7 +213,7 @@
 			}
 			inDoubt = inDoubt || r.inDoubt
 			open--
-			if !direct && s.n.storeAge() < storeAnswering {
+			if !direct && admission.Answering(s.n.storeAge()) {
 				begin()
 			}
 			if open == 0 {
