--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -94,7 +94,7 @@
 		return
 	}
 	c.config = cfg
-	c.log("configuration in force", "", Fields{Count: int(cfg.Version)})
+	c.log("configuration used for placement", "", Fields{Count: int(cfg.Version)})
 	c.resort = true
 }
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// The end of a run that an earlier owner had started was logged with the age of
+// the VM.
+func TestAgeOfInheritedRun(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 2, 1)
+	s.put("00000000000000aa", "batch", jobs.Step{Tasks: 4, Need: cores(1), EstimateMs: 1000})
+	s.run(600 * time.Millisecond)
+	ended := 0
+	s.onLog = func(l Log) {
+		if l.What == "run ended" {
+			ended++
+			is.True(l.Age < 10*time.Second)
+		}
+	}
+	n.kill()
+	s.run(10 * time.Second)
+	is.True(ended >= 4)
+}
+
 // The room of runs that a finished job still had was not known to the next
 // owner, which then gave the worker more than it has.
 func TestTakeoverCountsRunsOfFinishedJobs(t *testing.T) {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -167,7 +167,9 @@
 	}
 	var took Fields
 	if p != nil {
-		took.Age = c.now.Sub(p.confirmedAt)
+		if p.confirmedAt != 0 {
+			took.Age = c.now.Sub(p.confirmedAt)
+		}
 		c.removePlacement(p)
 	}
 	c.log("run ended", e.Task.Job, Fields{Task: e.Task, HasTask: true, Run: e.Run, Worker: w.info.Name, Outcome: string(e.Outcome), Age: took.Age, Count: int(e.Seq)})
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -36,6 +36,8 @@
 	newest      map[jobs.ID]jobs.Job // submitted jobs
 	tickets     uint64
 	offers      map[uint64]func(OfferSettled)
+	onLog       func(Log)
+	load        *loadRun // if set, runs and eligibility are those of a load profile
 }
 
 const simLease = 6 * time.Second
@@ -298,6 +300,9 @@
 	}
 	switch e := e.(type) {
 	case Log:
+		if s.onLog != nil {
+			s.onLog(e)
+		}
 		s.trace("%s %s %v %+v", n.cell.cfg.Self, e.What, e.Job, e.Fields)
 	case Append:
 		n.append(life, e, s.now, false)
@@ -325,7 +330,7 @@
 		s.after(e.Cost, func() {
 			a := EligibilityAnswered{Advisor: e.Advisor, Job: e.Job, Step: e.Step, Occur: e.Occur, Asked: e.Workers, ValidFor: 2500 * time.Millisecond}
 			for i, w := range e.Workers {
-				if i%2 == 0 {
+				if s.load.eligible(e.Job, w, i) {
 					a.Eligible = append(a.Eligible, Permit{Worker: w, Token: "t"})
 				}
 			}
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -243,6 +243,9 @@
 	if s.rnd.Float64() < 0.05 || job.Payload == "hopeless" {
 		outcome = jobs.OutcomeFailed
 	}
+	if s.load != nil {
+		took, outcome = s.load.run(o.Task)
+	}
 	s.after(took, func() {
 		if r := w.runs[o.Task]; w.up && w.boot == boot && r != nil && r.life == life {
 			w.end(o.Task, o.Run, outcome)
@@ -274,6 +277,8 @@
 }
 
 func (w *simWorker) end(t jobs.TaskRef, run int, how jobs.Outcome) {
+	s := w.s
+	s.load.used(w.runs[t], how, s.now)
 	w.drop(t)
 	w.barred[t] = max(w.barred[t], run)
 	w.s.trace("%s ended %v run %d %s", w.name, t, run, how)
