--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// The end of a run that was stopped was logged with the time since the stop, so
+// that the log did not show how much work was lost.
+func TestAgeOfStoppedRun(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	s.put("00000000000000aa", "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 20000})
+	ended := false
+	s.onLog = func(l Log) {
+		if l.What == "run ended" && l.Outcome == string(jobs.OutcomeStopped) {
+			ended = true
+			is.True(l.Age > 2*time.Second)
+		}
+	}
+	s.run(4 * time.Second)
+	n.send(n.life, JobCancelled{ID: "00000000000000aa"})
+	s.run(2 * time.Second)
+	is.True(ended)
+}
+
 // The end of a run that an earlier owner had started was logged with the age of
 // the VM.
 func TestAgeOfInheritedRun(t *testing.T) {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -167,8 +167,8 @@
 	}
 	var took Fields
 	if p != nil {
-		if p.confirmedAt != 0 {
-			took.Age = c.now.Sub(p.confirmedAt)
+		if p.sentAt != 0 {
+			took.Age = c.now.Sub(p.sentAt)
 		}
 		c.removePlacement(p)
 	}
