The cell is owned by a VM that has the processor for it

Cause: on the grown sites 31 of 37 VMs have 0.19 core, 6 have 0.8, and the owner used 0.35 core with 350 workers. Which VM became owner was a matter of luck.

--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -14,6 +14,8 @@
 type advisor struct {
 	name     string
 	up       bool
+	upSince  model.Time
+	cores    float64
 	calls    int
 	freeFrom model.Time
 }
@@ -69,7 +71,7 @@
 			return cmp.Or(-cmp.Compare(isSelf(a, c), isSelf(b, c)), cmp.Compare(a.name, b.name))
 		})
 	}
-	a.up, a.calls, a.freeFrom = e.Up, 0, c.now
+	a.up, a.upSince, a.cores, a.calls, a.freeFrom = e.Up, c.now, e.Cores, 0, c.now
 }
 
 // askRetry is the pause before a group is asked about again for want of room
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -113,6 +113,7 @@
 func (c *Cell) ownerTick() {
 	c.changed = true
 	c.releaseDue()
+	c.considerWay()
 	c.checkWorkers()
 	c.checkRuns()
 	c.forgetOld()
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -23,9 +23,6 @@
 	// readFresh is how old the newest complete read of the stream may be for
 	// an instance to judge the owner's silence by it.
 	readFresh = 600 * time.Millisecond
-	// claimSpread separates the claims of instances that suspect the owner at
-	// the same time.
-	claimSpread = 150 * time.Millisecond
 	// claimRetry is the pause after a lost or failed claim.
 	claimRetry = 400 * time.Millisecond
 
@@ -73,8 +70,9 @@
 	DataCentre model.DataCentre
 	Lease      time.Duration // longest lease that workers grant
 	GangWait   time.Duration // how long a member of a gang waits for the others
-	// Spread in [0,1) orders the claims of instances.
-	Spread float64
+	// Cores is the processor that the instance has; Spread in [0,1) orders the
+	// claims of equal instances.
+	Cores, Spread float64
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
 }
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -183,8 +183,9 @@
 
 // AdvisorChanged says that an instance can or can't make eligibility calls.
 type AdvisorChanged struct {
-	Name string
-	Up   bool
+	Name  string
+	Up    bool
+	Cores float64 // processor that the instance has
 }
 
 // Tick lets time pass. It comes every TickInterval.
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -27,7 +27,7 @@
 		s.addWorker()
 	}
 	for range nodes {
-		s.addNode()
+		s.addNode(1)
 	}
 	return s
 }
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/policy/succession"
 )
 
 // considerClaim tries to take the cell over if its owner gave it up or shows no
@@ -17,7 +18,7 @@
 		return // the store can't be read, so the owner's silence means nothing
 	}
 	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
-	if silent < limit+time.Duration(c.cfg.Spread*float64(claimSpread)) {
+	if silent < limit+succession.ClaimDelay(c.cfg.Cores, c.cfg.Spread) {
 		return
 	}
 	c.role = roleClaiming
@@ -217,7 +218,22 @@
 }
 
 // wantsRelease reports whether the owner gives the cell up.
-func (c *Cell) wantsRelease() bool { return c.draining }
+func (c *Cell) wantsRelease() bool { return c.draining || c.makesWay }
+
+// considerWay gives the cell up if another instance has the processor that its
+// owner needs and this one has not.
+func (c *Cell) considerWay() {
+	if c.makesWay || c.draining {
+		return
+	}
+	for _, a := range c.advisorList {
+		if a.up && succession.MakesWay(c.cfg.Cores, a.cores, c.now.Sub(c.ownerSince), c.now.Sub(a.upSince)) {
+			c.makesWay = true
+			c.log("owner makes way", "", Fields{Epoch: c.epoch, Reason: a.name, Age: c.now.Sub(a.upSince)})
+			return
+		}
+	}
+}
 
 // snapshot returns the entry that describes a job.
 func (j *job) snapshot() *jobs.Progress {
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -126,6 +126,7 @@
 	name   string
 	life   int
 	cell   *Cell
+	cores  float64
 	alive  bool
 	paused bool
 	held   []Event // events that arrive during a pause
@@ -144,8 +145,8 @@
 	return Tick{UnixMs: time.Duration(n.s.now).Milliseconds(), StoreAnswered: n.answered}
 }
 
-func (s *sim) addNode() *simNode {
-	n := &simNode{s: s, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
+func (s *sim) addNode(cores float64) *simNode {
+	n := &simNode{s: s, cores: cores, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
 	s.nodes = append(s.nodes, n)
 	n.start()
 	return n
@@ -255,7 +256,7 @@
 	n.owner = false
 	self := fmt.Sprintf("%s-%d", n.name, n.life)
 	n.cell = New(Config{
-		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Spread: n.s.rnd.Float64(), Retention: time.Hour,
+		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Spread: n.s.rnd.Float64(), Retention: time.Hour,
 	})
 	n.subsAt, n.progressAt = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, AdvisorChanged{Name: self, Up: true}}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -237,6 +237,7 @@
 	lastSent     model.Time
 	planned      []*placement // to be in the next append
 	released     bool
+	makesWay     bool          // gives the cell up to another instance
 	storeRefuses bool          // the last append was refused
 	usualAppend  time.Duration // smoothed
 	// storeAnswered is when the store last answered any call, as of the last tick.
--- a/internal/cli/runstandalone.go
+++ b/internal/cli/runstandalone.go
@@ -31,7 +31,7 @@
 	defer f.Close()
 	set := node.Settings{
 		Name: "standalone", DataCentre: "z", CallerListen: cmd.String("http"), StoreAddress: f.StoreAddress, EligibilityAddress: f.EligibilityAddress,
-		SubmissionStreams: 1, Lease: standaloneLease, GangWait: standaloneGangWait, Retention: standaloneRetention, Grace: standaloneGrace,
+		SubmissionStreams: 1, Lease: standaloneLease, GangWait: standaloneGangWait, Retention: standaloneRetention, Grace: standaloneGrace, Cores: 1,
 	}
 	for _, address := range []*string{&set.ReadyListen, &set.LinkListen, &set.MetricsListen} {
 		if *address, err = freeAddress(); err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -46,7 +46,8 @@
 
 // Hello introduces the dialling instance.
 type Hello struct {
-	Name string `json:"name"`
+	Name  string  `json:"name"`
+	Cores float64 `json:"cores,omitempty"` // processor that the instance has
 }
 
 // Welcome is the answer to a Hello.
@@ -122,7 +123,10 @@
 func (e *CallError) Unwrap() error { return e.Cause }
 
 // Peer is one connected instance.
-type Peer struct{ conn *jsonrpc2.Conn }
+type Peer struct {
+	Cores float64 // processor that the instance has
+	conn  *jsonrpc2.Conn
+}
 
 // Ask makes the peer do an eligibility call. The error is a CallError.
 func (p *Peer) Ask(ctx context.Context, r AskRequest) (AskReply, error) {
@@ -167,7 +171,7 @@
 	case methodHello:
 		return answer(req, func(h Hello) any {
 			s.mu.Lock()
-			s.name, s.peer = h.Name, &Peer{conn: conn}
+			s.name, s.peer = h.Name, &Peer{Cores: h.Cores, conn: conn}
 			peer := s.peer
 			s.mu.Unlock()
 			s.h.Connected(h.Name, peer)
@@ -245,7 +249,7 @@
 
 // Client keeps a connection to the owner. It is safe for concurrent use.
 type Client struct {
-	name    string
+	hello   Hello
 	h       Handler
 	changed func(up bool, cause error)
 
@@ -256,10 +260,10 @@
 	wake   chan struct{}
 }
 
-// NewClient returns a client that calls changed whenever the connection comes
-// up or is lost.
-func NewClient(name string, h Handler, changed func(up bool, cause error)) *Client {
-	return &Client{name: name, h: h, changed: changed, wake: make(chan struct{}, 1)}
+// NewClient returns a client that introduces its instance with hello, and calls
+// changed whenever the connection comes up or is lost.
+func NewClient(hello Hello, h Handler, changed func(up bool, cause error)) *Client {
+	return &Client{hello: hello, h: h, changed: changed, wake: make(chan struct{}, 1)}
 }
 
 // Target sets the owner and its address; empty if there is none to connect to.
@@ -305,7 +309,7 @@
 	}
 	conn := open(ctx, &deadlineConn{Conn: raw, read: idleAccepted}, &served{h: c.h})
 	defer conn.Close()
-	welcome, err := callWithin[Welcome](ctx, conn, methodHello, Hello{Name: c.name})
+	welcome, err := callWithin[Welcome](ctx, conn, methodHello, c.hello)
 	if err != nil {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,7 +111,7 @@
 	}
 	// Until Run begins, the instance knows nothing and is not loaded.
 	n.cell, n.life = n.newCell(), &life{ctx: context.Background(), cancel: func() {}}
-	n.client = link.NewClient(incarnation, peers{n}, n.linkChanged)
+	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores}, peers{n}, n.linkChanged)
 	n.submits = newSubmitter(n)
 	return n
 }
@@ -119,7 +119,7 @@
 func (n *Node) newCell() *cell.Cell {
 	return cell.New(cell.Config{
 		Name: cellName, Self: n.self, Address: n.set.LinkListen, DataCentre: n.set.DataCentre,
-		Lease: n.set.Lease, GangWait: n.set.GangWait, Spread: float64(xxhash.Sum64String(n.self)%1000) / 1000, Retention: n.set.Retention + retentionMargin,
+		Lease: n.set.Lease, GangWait: n.set.GangWait, Cores: n.set.Cores, Spread: float64(xxhash.Sum64String(n.self)%1000) / 1000, Retention: n.set.Retention + retentionMargin,
 	})
 }
 
@@ -225,8 +225,8 @@
 		first = append(first, cell.WorkerListed{Info: w})
 	}
 	first = append(first, cell.AdvisorChanged{Name: n.self, Up: true})
-	for name := range n.peers {
-		first = append(first, cell.AdvisorChanged{Name: name, Up: true})
+	for name, p := range n.peers {
+		first = append(first, cell.AdvisorChanged{Name: name, Up: true, Cores: p.Cores})
 	}
 	if n.draining.Load() {
 		first = append(first, cell.DrainStarted{})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -230,7 +230,7 @@
 	n.peers[name] = peer
 	n.mu.Unlock()
 	n.deps.Telemetry.Line("instance connected", LineFields{Subject: name})
-	n.post(cell.AdvisorChanged{Name: name, Up: true})
+	n.post(cell.AdvisorChanged{Name: name, Up: true, Cores: peer.Cores})
 }
 
 // Disconnected implements link.Handler.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,6 +29,7 @@
 	Retention   time.Duration // how long a finished job's state is kept for callers
 	Grace       time.Duration // from SIGTERM to SIGKILL
 	MemoryLimit int64         // bytes of the process
+	Cores       float64       // processor that the VM has, in cores of usual speed
 	LogLevel    string
 }
 
