--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -54,7 +55,7 @@
 	t := node.NewTelemetry(cmd.Root().Writer, set.LogLevel, set.Name)
 	defer t.Close()
 	stop := make(chan struct{})
-	return runNode(ctx, newNode(set, t), t, stop)
+	return runNode(ctx, newNode(set, t), t, stop, sync.OnceFunc(func() { close(stop) }))
 }
 
 // newNode returns an instance that speaks to the platform.
@@ -73,24 +74,25 @@
 	}, set.Name+"-"+string(newIncarnation()))
 }
 
-// runNode serves until a signal ends it or stop is closed.
-func runNode(ctx context.Context, n *node.Node, t *node.Telemetry, stop chan struct{}) error {
+// runNode serves until stop is closed. A signal to end calls halt, which closes
+// it.
+func runNode(ctx context.Context, n *node.Node, t *node.Telemetry, stop <-chan struct{}, halt func()) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	go handleSignals(signals, stop, t)
+	go handleSignals(signals, halt, t)
 	return n.Serve(ctx, platform.NewCallers(n), stop)
 }
 
-// handleSignals closes stop at the first signal to end. The settings that an
+// handleSignals calls halt at the first signal to end. The settings that an
 // instance uses do not change during its life, so a reload is only noted.
-func handleSignals(signals <-chan os.Signal, stop chan<- struct{}, t *node.Telemetry) {
+func handleSignals(signals <-chan os.Signal, halt func(), t *node.Telemetry) {
 	for s := range signals {
 		if s == syscall.SIGHUP {
 			t.Line("reload of settings", node.LineFields{Outcome: "unchanged"})
 			continue
 		}
-		close(stop)
+		halt()
 		return
 	}
 }
--- a/internal/cli/runstandalone.go
+++ b/internal/cli/runstandalone.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -46,6 +47,7 @@
 	t := node.NewTelemetry(cmd.Root().ErrWriter, set.LogLevel, set.Name)
 	defer t.Close()
 	n, stop, demoed := newNode(set, t), make(chan struct{}), make(chan error, 1)
+	halt := sync.OnceFunc(func() { close(stop) })
 	go func() {
 		caller := &standin.Caller{Base: "http://" + set.CallerListen, HTTP: httpjson.NewClient(1)}
 		err := caller.Demo(ctx, cmd.Root().Writer, demoWait)
@@ -54,10 +56,10 @@
 		}
 		demoed <- err
 		if cmd.Bool("demo-exit") {
-			close(stop)
+			halt()
 		}
 	}()
-	if err := runNode(ctx, n, t, stop); err != nil || !cmd.Bool("demo-exit") {
+	if err := runNode(ctx, n, t, stop, halt); err != nil || !cmd.Bool("demo-exit") {
 		return err
 	}
 	return <-demoed
