--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -55,6 +55,7 @@
 	at     atomic.Int64     // the same as next, for other goroutines
 	loaded map[string]int64 // offsets of keys that the load has returned
 	failed int
+	behind bool // the last answer did not reach the end of the stream
 }
 
 func newFollower(n *Node, s store.Stream, wait, pause time.Duration, take func(store.Record)) *follower {
@@ -121,7 +122,7 @@
 			wait = 0 // somebody waits for a read to the end
 		}
 		hurried = false
-		if f.read(ctx, wait) {
+		if f.read(ctx, wait) && !f.behind {
 			hurried = f.rest(ctx, pause)
 		}
 	}
@@ -149,6 +150,7 @@
 		f.take(r)
 	}
 	f.moveTo(b.Next)
+	f.behind = len(b.Records) > 0 && b.Next < b.End
 	if len(f.loaded) > 0 && f.next >= b.End {
 		f.loaded = nil
 	}
