A count of waiting jobs is told only from a view that is recent

Cause: an instance that could not read the store, or was behind, went on to say how many jobs wait, as of the time of its last read.

Change: above 4.5 s since the newest read to the end of each stream, the count is refused with a time to come back.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -53,6 +53,7 @@
 	next   int64
 	wake   chan struct{}    // ends a pause
 	at     atomic.Int64     // the same as next, for other goroutines
+	readAt atomic.Int64     // model.Time at which the newest read to the end was sent
 	loaded map[string]int64 // offsets of keys that the load has returned
 	failed int
 	behind bool // the last answer did not reach the end of the stream
@@ -80,6 +81,7 @@
 
 func (f *follower) tryLoad(ctx context.Context) bool {
 	after, end := "", int64(-1)
+	sent := f.n.deps.Now()
 	f.loaded = map[string]int64{}
 	for {
 		p, err := f.n.deps.Store.Newest(ctx, f.stream, after)
@@ -101,9 +103,15 @@
 		}
 	}
 	f.moveTo(end)
+	f.readAt.Store(int64(sent))
 	return true
 }
 
+// age returns how old the follower's view of the stream may be.
+func (f *follower) age() time.Duration {
+	return f.n.deps.Now().Sub(model.Time(f.readAt.Load()))
+}
+
 func (f *follower) follow(ctx context.Context) {
 	hurried := false
 	for ctx.Err() == nil {
@@ -154,8 +162,11 @@
 	if len(f.loaded) > 0 && f.next >= b.End {
 		f.loaded = nil
 	}
-	if f.after != nil && b.Next >= b.End {
-		f.after(b, sent)
+	if b.Next >= b.End {
+		f.readAt.Store(int64(sent))
+		if f.after != nil {
+			f.after(b, sent)
+		}
 	}
 	return true
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -18,6 +18,10 @@
 	// stateTimeout bounds the question to the owner. An instance's own view is
 	// at most a fraction of a second older.
 	stateTimeout = 250 * time.Millisecond
+	// oldestCount is the age of an instance's view up to which it says how many
+	// jobs wait. It is above the pause between reads of submissions, and below the
+	// 5 s after which callers may expect a job to be counted.
+	oldestCount = 4500 * time.Millisecond
 	// storeSilence is how long the store may be out of reach before the instance
 	// asks the balancer for no more connections. It is above the pause between
 	// reads and the time of one from a store that is sixty times slower.
@@ -182,12 +186,25 @@
 func (n *Node) Waiting(queue string) (int, Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.life.loaded.Load() {
+	if !n.life.loaded.Load() || n.viewAge() > oldestCount {
 		return 0, n.refusedByStore()
 	}
 	return n.cell.Waiting(queue), Outcome{Kind: Done}
 }
 
+// viewAge returns how old the instance's view of the cell may be. The caller
+// holds mu.
+func (n *Node) viewAge() time.Duration {
+	oldest := time.Duration(0)
+	for _, f := range n.subs {
+		oldest = max(oldest, f.age())
+	}
+	if !n.life.owner.Load() {
+		oldest = max(oldest, n.progress.age())
+	}
+	return oldest
+}
+
 // peers serves other instances.
 type peers struct{ n *Node }
 
