--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -100,7 +100,7 @@
 	s.run(span)
 	s.lateOrders, s.lostAnswers, s.storeDown, s.storeBusy = 0, 0, false, false
 	for _, n := range s.nodes {
-		n.cut = false
+		n.cut, n.skew = false, 0
 		clear(n.away)
 	}
 	// Late orders take up to 12 s, leases 6 s, and queued work its time.
@@ -121,7 +121,15 @@
 	}
 	w := s.workers[s.rnd.IntN(len(s.workers))]
 	d := 200*time.Millisecond + time.Duration(s.rnd.Int64N(int64(8*time.Second)))
-	switch s.rnd.IntN(13) {
+	switch s.rnd.IntN(16) {
+	case 15:
+		n.skew = time.Duration(s.rnd.Int64N(int64(8*time.Second))) - 4*time.Second
+		s.after(d, func() { n.skew = 0 })
+	case 14:
+		s.storm()
+	case 13:
+		s.cutZone(s.rnd.IntN(2), true)
+		s.after(d, func() { s.cutZone(0, false) })
 	case 12:
 		w.stalledUntil = s.now.Add(3 * d)
 	case 11:
@@ -166,6 +174,37 @@
 	}
 }
 
+// storm brings ten versions of the configuration in a second. Instances learn of
+// each at different times.
+func (s *sim) storm() {
+	for i := range 10 {
+		s.after(time.Duration(i)*100*time.Millisecond, func() {
+			next := *s.cfg
+			next.Version++
+			s.cfg = &next
+			for _, n := range s.nodes {
+				life := n.life
+				s.after(time.Duration(s.rnd.Int64N(int64(300*time.Millisecond))), func() { n.send(life, ConfigChanged{Config: &next}) })
+			}
+		})
+	}
+}
+
+// cutZone cuts every second instance from the store, and from the workers that
+// the other instances reach, or heals that.
+func (s *sim) cutZone(zone int, cut bool) {
+	for i, n := range s.nodes {
+		n.cut = cut && i%2 == zone
+		for j, w := range s.workers {
+			if cut && i%2 != j%2 {
+				n.away[w] = true
+			} else {
+				delete(n.away, w)
+			}
+		}
+	}
+}
+
 // checkEnd checks that every job has ended, and truthfully.
 func (s *sim) checkEnd() {
 	for id, j := range s.newest {
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -129,8 +129,9 @@
 	cores  float64
 	alive  bool
 	paused bool
-	held   []Event // events that arrive during a pause
-	cut    bool    // from the store
+	held   []Event       // events that arrive during a pause
+	cut    bool          // from the store
+	skew   time.Duration // of its time of day
 	away   map[*simWorker]bool
 	// draining instances tell each new cell so, as the driver does.
 	draining bool
@@ -142,7 +143,7 @@
 }
 
 func (n *simNode) tick() Tick {
-	return Tick{UnixMs: time.Duration(n.s.now).Milliseconds(), StoreAnswered: n.answered}
+	return Tick{UnixMs: (time.Duration(n.s.now) + n.skew).Milliseconds(), StoreAnswered: n.answered}
 }
 
 func (s *sim) addNode(cores float64) *simNode {
