--- a/internal/cli/runstandalone.go
+++ b/internal/cli/runstandalone.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -35,12 +34,12 @@
 		SubmissionStreams: 1, Lease: standaloneLease, GangWait: standaloneGangWait, Retention: standaloneRetention, Grace: standaloneGrace, Cores: 1,
 	}
 	for _, address := range []*string{&set.ReadyListen, &set.LinkListen, &set.MetricsListen} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = standin.FreeAddress(); err != nil {
 			return err
 		}
 	}
 	if set.CallerListen == anyPort {
-		if set.CallerListen, err = freeAddress(); err != nil {
+		if set.CallerListen, err = standin.FreeAddress(); err != nil {
 			return err
 		}
 	}
@@ -64,12 +63,3 @@
 	}
 	return <-demoed
 }
-
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
-}
