--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -306,7 +306,7 @@
 	j.cancelled = true
 	c.count("cancellations", "", 1)
 	if j.durable {
-		c.append(record.Entry{Cancel: &record.Cancel{Epoch: c.own.epoch, Job: j.id}}, false)
+		c.append(record.Entry{Cancel: &record.Cancel{Epoch: c.own.epoch, Job: j.id}}, true)
 	}
 	for _, id := range sortedKeys(c.own.jobTasks[j.id]) {
 		t := c.own.jobTasks[j.id][id]
