The time to come back without a configuration is the product's choice

Cause: platform/callers.go, which is to decide nothing, chose it.

Change: internal/node has it as a named constant.

Result: the tests of platform pass.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -39,6 +39,15 @@
 	RetryAfter time.Duration
 }
 
+// configurationRetry is when a caller should come back to an instance that has
+// just started. It reads the configuration within that time if the store answers.
+const configurationRetry = time.Second
+
+// NotConfigured returns the refusal of an instance without a configuration.
+func NotConfigured() Refusal {
+	return Refusal{Reason: NoConfiguration, RetryAfter: configurationRetry}
+}
+
 // Outcome is the answer to a caller's request.
 type Outcome struct {
 	Kind    Kind
