--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -12,12 +12,13 @@
 
 // advisor is an instance that can make eligibility calls.
 type advisor struct {
-	name     string
-	up       bool
-	upSince  model.Time
-	cores    float64
-	calls    int
-	freeFrom model.Time
+	name      string
+	up        bool
+	upSince   model.Time
+	cores     float64
+	bandwidth int64
+	calls     int
+	freeFrom  model.Time
 }
 
 // queueStats is what was learned of a queue.
@@ -71,7 +72,8 @@
 			return cmp.Or(-cmp.Compare(isSelf(a, c), isSelf(b, c)), cmp.Compare(a.name, b.name))
 		})
 	}
-	a.up, a.upSince, a.cores, a.calls, a.freeFrom = e.Up, c.now, e.Cores, 0, c.now
+	a.up, a.upSince, a.cores, a.bandwidth = e.Up, c.now, e.Cores, e.Bandwidth
+	a.calls, a.freeFrom = 0, c.now
 }
 
 // askRetry is the pause before a group is asked about again for want of room
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -73,6 +73,9 @@
 	// Cores is the processor that the instance has; Spread in [0,1) orders the
 	// claims of equal instances.
 	Cores, Spread float64
+	// Bandwidth is that of the instance's link in bytes a second; zero if it is
+	// not known.
+	Bandwidth int64
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
 }
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -183,9 +183,10 @@
 
 // AdvisorChanged says that an instance can or can't make eligibility calls.
 type AdvisorChanged struct {
-	Name  string
-	Up    bool
-	Cores float64 // processor that the instance has
+	Name      string
+	Up        bool
+	Cores     float64 // processor that the instance has
+	Bandwidth int64   // of its link, in bytes a second; zero if unknown
 }
 
 // Tick lets time pass. It comes every TickInterval.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -48,6 +48,8 @@
 type Hello struct {
 	Name  string  `json:"name"`
 	Cores float64 `json:"cores,omitempty"` // processor that the instance has
+	// Bandwidth is that of the instance's link in bytes a second; zero if unknown.
+	Bandwidth int64 `json:"bandwidth,omitempty"`
 }
 
 // Welcome is the answer to a Hello.
@@ -124,8 +126,9 @@
 
 // Peer is one connected instance.
 type Peer struct {
-	Cores float64 // processor that the instance has
-	conn  *jsonrpc2.Conn
+	Cores     float64 // processor that the instance has
+	Bandwidth int64   // of its link, in bytes a second; zero if unknown
+	conn      *jsonrpc2.Conn
 }
 
 // Ask makes the peer do an eligibility call. The error is a CallError.
@@ -171,7 +174,7 @@
 	case methodHello:
 		return answer(req, func(h Hello) any {
 			s.mu.Lock()
-			s.name, s.peer = h.Name, &Peer{Cores: h.Cores, conn: conn}
+			s.name, s.peer = h.Name, &Peer{Cores: h.Cores, Bandwidth: h.Bandwidth, conn: conn}
 			peer := s.peer
 			s.mu.Unlock()
 			s.h.Connected(h.Name, peer)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 	}
 	// Until Run begins, the instance knows nothing and is not loaded.
 	n.cell, n.life = n.newCell(), &life{ctx: context.Background(), cancel: func() {}}
-	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores}, peers{n}, n.linkChanged)
+	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores, Bandwidth: set.Bandwidth}, peers{n}, n.linkChanged)
 	n.submits = newSubmitter(n)
 	return n
 }
@@ -120,7 +120,8 @@
 func (n *Node) newCell() *cell.Cell {
 	return cell.New(cell.Config{
 		Name: cellName, Self: n.self, Address: n.set.LinkListen, DataCentre: n.set.DataCentre,
-		Lease: n.set.Lease, GangWait: n.set.GangWait, Cores: n.set.Cores, Spread: float64(xxhash.Sum64String(n.self)%1000) / 1000, Retention: n.set.Retention + retentionMargin,
+		Lease: n.set.Lease, GangWait: n.set.GangWait, Retention: n.set.Retention + retentionMargin,
+		Cores: n.set.Cores, Bandwidth: n.set.Bandwidth, Spread: float64(xxhash.Sum64String(n.self)%1000) / 1000,
 	})
 }
 
@@ -227,7 +228,7 @@
 	}
 	first = append(first, cell.AdvisorChanged{Name: n.self, Up: true})
 	for name, p := range n.peers {
-		first = append(first, cell.AdvisorChanged{Name: name, Up: true, Cores: p.Cores})
+		first = append(first, cell.AdvisorChanged{Name: name, Up: true, Cores: p.Cores, Bandwidth: p.Bandwidth})
 	}
 	if n.draining.Load() {
 		first = append(first, cell.DrainStarted{})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -244,7 +244,7 @@
 	n.peers[name] = peer
 	n.mu.Unlock()
 	n.deps.Telemetry.Line("instance connected", LineFields{Subject: name})
-	n.post(cell.AdvisorChanged{Name: name, Up: true, Cores: peer.Cores})
+	n.post(cell.AdvisorChanged{Name: name, Up: true, Cores: peer.Cores, Bandwidth: peer.Bandwidth})
 }
 
 // Disconnected implements link.Handler.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -30,6 +30,7 @@
 	Grace       time.Duration // from SIGTERM to SIGKILL
 	MemoryLimit int64         // bytes of the process
 	Cores       float64       // processor that the VM has, in cores of usual speed
+	Bandwidth   int64         // of the VM's link each way, in bytes a second; zero if it is not known
 	LogLevel    string
 }
 
