Log and metrics of the VM's link by destination

The logs could not tell whether workers, the store or the owner's own link made all its calls late. An instance now writes a line when its link becomes busy or free, with bytes a second by destination and the worker calls without an answer, and counts the bytes of the links between instances and of callers too.

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -11,7 +11,6 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sys/unix"
 
-	"github.com/gentianpick/gentianpick/internal/httpjson"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/node"
 	"github.com/gentianpick/gentianpick/platform"
@@ -60,16 +59,14 @@
 
 // newNode returns an instance that speaks to the platform.
 func newNode(set node.Settings, t *node.Telemetry) *node.Node {
-	var storeCalls, workerCalls, eligibilityCalls httpjson.Traffic
-	t.Calls("store", &storeCalls)
-	t.Calls("worker", &workerCalls)
-	t.Calls("eligibility", &eligibilityCalls)
+	traffic := &node.Traffic{}
 	return node.New(set, node.Deps{
-		Store:       platform.NewStore(set.StoreAddress, &storeCalls),
-		Workers:     platform.NewWorkers(&workerCalls),
-		Eligibility: platform.NewEligibility(set.EligibilityAddress, &eligibilityCalls),
+		Store:       platform.NewStore(set.StoreAddress, &traffic.Store),
+		Workers:     platform.NewWorkers(&traffic.Workers),
+		Eligibility: platform.NewEligibility(set.EligibilityAddress, &traffic.Eligibility),
 		Decode:      node.Decoders{Config: platform.DecodeConfig, Worker: platform.DecodeWorker},
 		Telemetry:   t,
+		Traffic:     traffic,
 		Now:         bootTime,
 	}, set.Name+"-"+string(newIncarnation()))
 }
--- a/internal/httpjson/traffic.go
+++ b/internal/httpjson/traffic.go
@@ -11,6 +11,7 @@
 // headers included.
 type Traffic struct {
 	Calls    atomic.Uint64
+	Open     atomic.Int64 // calls without an answer yet
 	Sent     atomic.Uint64
 	Received atomic.Uint64
 }
@@ -25,7 +26,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn, traffic: t}, nil
+		return t.Conn(conn), nil
 	}
 	c.Transport = &countedCalls{next: transport, traffic: t}
 	return c
@@ -40,9 +41,33 @@
 // RoundTrip implements http.RoundTripper.
 func (c *countedCalls) RoundTrip(r *http.Request) (*http.Response, error) {
 	c.traffic.Calls.Add(1)
+	c.traffic.Open.Add(1)
+	defer c.traffic.Open.Add(-1)
 	return c.next.RoundTrip(r)
 }
 
+// Conn returns a connection whose bytes are counted.
+func (t *Traffic) Conn(c net.Conn) net.Conn { return &countedConn{Conn: c, traffic: t} }
+
+// Listener returns a listener whose connections are counted.
+func (t *Traffic) Listener(ln net.Listener) net.Listener {
+	return &countedListener{Listener: ln, traffic: t}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.Conn(c), nil
+}
+
 // countedConn counts the bytes of one connection.
 type countedConn struct {
 	net.Conn
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/gentianpick/gentianpick/internal/cell"
+	"github.com/gentianpick/gentianpick/internal/httpjson"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
@@ -254,6 +255,7 @@
 type Client struct {
 	hello   Hello
 	h       Handler
+	traffic *httpjson.Traffic
 	changed func(up bool, cause error)
 
 	mu     sync.Mutex
@@ -263,10 +265,11 @@
 	wake   chan struct{}
 }
 
-// NewClient returns a client that introduces its instance with hello, and calls
-// changed whenever the connection comes up or is lost.
-func NewClient(hello Hello, h Handler, changed func(up bool, cause error)) *Client {
-	return &Client{hello: hello, h: h, changed: changed, wake: make(chan struct{}, 1)}
+// NewClient returns a client that introduces its instance with hello, counts
+// its bytes in traffic, and calls changed whenever the connection comes up or is
+// lost.
+func NewClient(hello Hello, h Handler, traffic *httpjson.Traffic, changed func(up bool, cause error)) *Client {
+	return &Client{hello: hello, h: h, traffic: traffic, changed: changed, wake: make(chan struct{}, 1)}
 }
 
 // Target sets the owner and its address; empty if there is none to connect to.
@@ -310,7 +313,7 @@
 	if err != nil {
 		return
 	}
-	conn := open(ctx, &deadlineConn{Conn: raw, read: idleAccepted}, &served{h: c.h})
+	conn := open(ctx, &deadlineConn{Conn: c.traffic.Conn(raw), read: idleAccepted}, &served{h: c.h})
 	defer conn.Close()
 	welcome, err := callWithin[Welcome](ctx, conn, methodHello, c.hello)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	Eligibility Eligibility
 	Decode      Decoders
 	Telemetry   *Telemetry
+	// Traffic is what the adapters count into; nil if nobody does.
+	Traffic *Traffic
 	// Now reads a clock that includes times of suspension.
 	Now func() model.Time
 }
@@ -104,6 +106,10 @@
 
 // New returns a node that does not run yet.
 func New(set Settings, deps Deps, incarnation string) *Node {
+	if deps.Traffic == nil {
+		deps.Traffic = &Traffic{}
+	}
+	deps.Telemetry.traffic(deps.Traffic)
 	n := &Node{
 		set: set, deps: deps, self: incarnation,
 		events:  make(chan batch, eventQueue),
@@ -112,7 +118,7 @@
 	}
 	// Until Run begins, the instance knows nothing and is not loaded.
 	n.cell, n.life = n.newCell(), &life{ctx: context.Background(), cancel: func() {}}
-	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores, Bandwidth: set.Bandwidth}, peers{n}, n.linkChanged)
+	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores, Bandwidth: set.Bandwidth}, peers{n}, &deps.Traffic.Instances, n.linkChanged)
 	n.submits = newSubmitter(n)
 	return n
 }
@@ -131,6 +137,7 @@
 	go newFollower(n, store.Workers, 0, workersPause, n.takeWorker).run(ctx)
 	go n.client.Run(ctx)
 	go n.tick(ctx)
+	go n.watchLink(ctx)
 	n.restart(ctx)
 	for {
 		select {
--- a/internal/node/telemetry.go
+++ b/internal/node/telemetry.go
@@ -69,6 +69,22 @@
 	e.Msg(what)
 }
 
+// traffic adds the counts of what the instance sends and receives.
+func (t *Telemetry) traffic(traffic *Traffic) {
+	for i, one := range traffic.all() {
+		t.Calls(trafficNames[i], one)
+	}
+}
+
+// LinkUse writes one line about the use of the VM's link.
+func (t *Telemetry) LinkUse(what string, u *linkUse) {
+	e := t.log.Info().Int64("open_worker_calls", u.openCalls)
+	for i, name := range trafficNames {
+		e = e.Int64(name+"_sent_bytes_s", u.sent[i]).Int64(name+"_received_bytes_s", u.received[i])
+	}
+	e.Msg(what)
+}
+
 // Request writes one line about a caller's request.
 func (t *Telemetry) Request(what string, id jobs.ID, queue string, took time.Duration, outcome, reason string) {
 	e := t.log.Info().Str("job", string(id)).Str("queue", queue).Str("outcome", outcome)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -143,6 +143,7 @@
 	}{{"calls", &traffic.Calls}, {"sent_bytes", &traffic.Sent}, {"received_bytes", &traffic.Received}} {
 		t.set.NewGauge(prefix+adapter+"_"+k.name+"_total", func() float64 { return float64(k.value.Load()) })
 	}
+	t.set.NewGauge(prefix+adapter+"_open_calls", func() float64 { return float64(traffic.Open.Load()) })
 }
 
 // Write writes every metric and those of the process in the Prometheus text
