Reducer: the timeout of a call to a worker is part of the effect

No change of behaviour: the limits move from the adapter to the reducer, which knows how loaded the instance is.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -36,6 +36,11 @@
 	// answer also tells the progress of runs.
 	idleWait = 2 * time.Second
 	busyWait = 900 * time.Millisecond
+	// orderTimeout bounds a start or stop. Workers answer within milliseconds;
+	// a start without an answer must be settled while its task can be in time.
+	orderTimeout = 200 * time.Millisecond
+	// renewMargin is how much longer than its wait a renewal may take.
+	renewMargin = 500 * time.Millisecond
 	// renewPause separates renewals while ends wait for the store, or after a
 	// renewal that failed.
 	renewPause = 300 * time.Millisecond
--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -41,6 +41,7 @@
 	// LeaseUntil is a time of the worker's clock; zero leaves the lease as it is.
 	LeaseUntil model.WorkerTime
 	Wait       time.Duration // the worker answers earlier if a run ends
+	Timeout    time.Duration // of the call; above Wait
 	// Peek marks a renewal beside the one that waits at the worker. It settles
 	// runs sooner.
 	Peek bool
@@ -57,6 +58,7 @@
 	LeaseUntil model.WorkerTime
 	Checkpoint string
 	Permit     string
+	Timeout    time.Duration // of the call
 }
 
 // Stop ends a run, and bars it and all earlier runs of the task if it has not
@@ -67,6 +69,7 @@
 	Epoch   int64
 	Task    jobs.TaskRef
 	Run     int
+	Timeout time.Duration // of the call
 }
 
 // Ask asks an instance to find out which workers may run a step. It is
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -33,7 +33,7 @@
 	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
 	c.emit(Start{
 		Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run,
-		Payload: j.payload, LeaseUntil: c.leaseUntil(w), Checkpoint: t.checkpoint, Permit: perm.token,
+		Payload: j.payload, LeaseUntil: c.leaseUntil(w), Checkpoint: t.checkpoint, Permit: perm.token, Timeout: orderTimeout,
 	})
 }
 
@@ -125,7 +125,7 @@
 	}
 	p.stopping, p.stopSentAt = true, c.now
 	c.log("stop sent", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: p.reason})
-	c.emit(Stop{Worker: p.worker.info.Name, Address: p.worker.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run})
+	c.emit(Stop{Worker: p.worker.info.Name, Address: p.worker.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run, Timeout: orderTimeout})
 }
 
 func (c *Cell) stopAnswered(e StopAnswered) {
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -52,7 +52,7 @@
 
 // peek asks a worker for its runs without waiting for one to end.
 func (c *Cell) peek(w *worker) {
-	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true})
+	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: renewMargin})
 }
 
 func (c *Cell) renew(w *worker) {
@@ -72,6 +72,7 @@
 	default:
 		r.Wait = idleWait
 	}
+	r.Timeout = r.Wait + renewMargin
 	c.emit(r)
 }
 
