Simulator: an owner behind a narrow link or with a slow processor

The simulated calls to workers and to the store took a few milliseconds whatever was sent, so that no test could show the incident of the grown sites: starts that wait in the owner's link for longer than their fixed timeout, each of which costs a stop on a new connection.

An instance of the simulator can now have a link whose bytes queue each way, and a processor that handles one call or answer after the other. A call without an answer after its timeout has no verdict, and the worker still carries it out.

--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -135,6 +135,7 @@
 	away   map[*simWorker]bool
 	// draining instances tell each new cell so, as the driver does.
 	draining bool
+	link     *simLink // nil if nothing limits its calls
 
 	subsAt, progressAt int
 	claimSeq           int64
@@ -257,7 +258,7 @@
 	n.owner = false
 	self := fmt.Sprintf("%s-%d", n.name, n.life)
 	n.cell = New(Config{
-		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Spread: n.s.rnd.Float64(), Retention: time.Hour,
+		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.link.rate(), Spread: n.s.rnd.Float64(), Retention: time.Hour,
 	})
 	n.subsAt, n.progressAt = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, AdvisorChanged{Name: self, Up: true}}
@@ -296,6 +297,9 @@
 
 // perform carries one effect out. It returns true if the cell was replaced.
 func (n *simNode) perform(life int, e Effect) bool {
+	if n.link.carry(life, e) {
+		return false
+	}
 	s := n.s
 	reply := func(e Event) {
 		s.after(s.latency(), func() { n.send(life, e) })
@@ -383,7 +387,7 @@
 			return
 		}
 		if s.storeBusy {
-			s.after(s.latency(), func() { n.send(life, Appended{Commit: a.Commit, SentAt: sent, Refused: true}) })
+			n.appended(life, Appended{Commit: a.Commit, SentAt: sent, Refused: true})
 			return
 		}
 		ok, fenced := s.store.appendProgress(a.Entries, a.Epoch, n.claimSeq+int64(a.Commit), -1)
@@ -391,7 +395,14 @@
 			s.after(150*time.Millisecond, func() { n.append(life, a, sent, true) })
 			return
 		}
-		s.after(s.latency(), func() { n.send(life, Appended{Commit: a.Commit, SentAt: sent, Fenced: fenced || !ok}) })
+		n.appended(life, Appended{Commit: a.Commit, SentAt: sent, Fenced: fenced || !ok})
+	})
+}
+
+// appended brings the store's answer to the instance.
+func (n *simNode) appended(life int, a Appended) {
+	n.s.after(n.s.latency(), func() {
+		n.link.receive(a, func() { n.send(life, a) })
 	})
 }
 
