An owner has no more calls under way than its link and processor answer in time

Cause: congestion collapse. Every start was sent at once, with a fixed timeout of 200 ms. Behind 2 Mbit/s a burst of 189 starts waits for longer than that. Each timeout closed a connection and sent a stop on a new one, repeated every 400 ms without a bound, so that the repeats filled the link (20,958 stops beside 4,779 starts) and never ended.

A pacer now bounds the bytes of starts and stops under way, starting from the link's rate and the processor in the settings and following the times of answers; the majority counts, so that dead workers do not slow the rest. Work that has to wait does so unplaced, in the order of its rank. Timeouts follow the usual delay and back off while nothing answers; stops back off, wait for workers that answer, and peeks are not doubled; renewals are spaced while calls are slow.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -128,6 +128,14 @@
 	return &jobs.Queue{Name: j.queue, Priority: lowestPriority, MaxAttempts: 1}
 }
 
+// priorityOf returns the priority of a queue, of which 0 is the highest.
+func (c *Cell) priorityOf(queue string) int {
+	if q := c.config.Queue(queue); q != nil {
+		return q.Priority
+	}
+	return lowestPriority
+}
+
 // lowestPriority orders jobs whose queue is not in the configuration.
 const lowestPriority = 1 << 20
 
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -54,6 +54,9 @@
 	appendWeight = 4
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 400 * time.Millisecond
+	// maxStopDoublings bounds the growth of that pause. A renewal tells the end of
+	// the run as well.
+	maxStopDoublings = 3
 	// slowPause keeps new work away from a worker whose runs are slow. It is near
 	// the time that such a state lasts; the next runs tell whether it is over.
 	slowPause = 2 * time.Second
--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -47,6 +47,12 @@
 	Peek bool
 }
 
+// Call is what a call to a worker costs, for the answer to it.
+type Call struct {
+	SentAt model.Time
+	Cost   int // bytes
+}
+
 // Start starts a run. It is answered by StartAnswered.
 type Start struct {
 	Worker     model.WorkerName
@@ -59,6 +65,7 @@
 	Checkpoint string
 	Permit     string
 	Timeout    time.Duration // of the call
+	Call       Call
 }
 
 // Stop ends a run, and bars it and all earlier runs of the task if it has not
@@ -70,6 +77,7 @@
 	Task    jobs.TaskRef
 	Run     int
 	Timeout time.Duration // of the call
+	Call    Call
 }
 
 // Ask asks an instance to find out which workers may run a step. It is
@@ -94,6 +102,10 @@
 	Ticket  uint64
 	Stored  bool
 	InDoubt bool // it may be or become stored; never set together with Stored
+	// Overloaded says that the offer was refused since its job would wait too long
+	// for its turn, and RetryAfter when to come back. No instance is to store it.
+	Overloaded bool
+	RetryAfter time.Duration
 }
 
 // RoleChanged says that this instance became, or stopped being, the owner.
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -128,6 +128,7 @@
 	Task    jobs.TaskRef
 	Run     int
 	Verdict Verdict
+	Call    Call // as in the Start
 }
 
 // StopAnswered is the answer to a Stop.
@@ -136,6 +137,7 @@
 	Task    jobs.TaskRef
 	Run     int
 	Verdict Verdict
+	Call    Call // as in the Stop
 }
 
 // Permit lets the tasks of one step start on one worker.
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -161,6 +161,8 @@
 // removePlacement gives a placement's room back.
 func (c *Cell) removePlacement(p *placement) {
 	p.phase = phaseOver
+	c.pace.Drop(p.cost)
+	p.cost = 0
 	c.changed = true
 	delete(p.worker.runs, p.ref)
 	p.worker.used = p.worker.used.Sub(p.need)
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 )
 
 // startPlaced sends the start of a placement that the store has.
@@ -29,11 +30,13 @@
 	}
 	t := &g.tasks[p.ref.Index]
 	p.phase, p.sentAt = phaseStarting, c.now
+	call := Call{SentAt: c.now, Cost: p.cost} // its room is kept until the answer
+	p.cost = 0
 	j := g.job
 	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
 	c.emit(Start{
 		Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run,
-		Payload: j.payload, LeaseUntil: c.leaseUntil(w), Checkpoint: t.checkpoint, Permit: perm.token, Timeout: orderTimeout,
+		Payload: j.payload, LeaseUntil: c.leaseUntil(w), Checkpoint: t.checkpoint, Permit: perm.token, Timeout: c.pace.Timeout(orderTimeout), Call: call,
 	})
 }
 
@@ -48,6 +51,7 @@
 }
 
 func (c *Cell) startAnswered(e StartAnswered) {
+	c.callOver(e.Call, e.Verdict)
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
@@ -119,16 +123,27 @@
 	c.sendStop(p)
 }
 
+// sendStop sends a stop, or leaves it to a later tick: one to a worker that does
+// not answer, or behind many other calls, would only be sent again.
 func (c *Cell) sendStop(p *placement) {
-	if p.stopping || !p.worker.fenced {
+	if p.stopping || !p.worker.fenced || p.worker.failedCalls > 0 || !c.pace.StopAllowed() {
 		return
 	}
 	p.stopping, p.stopSentAt = true, c.now
+	call := Call{SentAt: c.now, Cost: pacing.StopCost}
+	c.pace.Add(call.Cost)
 	c.log("stop sent", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: p.reason})
-	c.emit(Stop{Worker: p.worker.info.Name, Address: p.worker.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run, Timeout: orderTimeout})
+	c.emit(Stop{Worker: p.worker.info.Name, Address: p.worker.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run, Timeout: c.pace.Timeout(orderTimeout), Call: call})
+}
+
+// callOver takes the end of a start or stop into account.
+func (c *Cell) callOver(call Call, v Verdict) {
+	c.pace.Answered(c.now, call.Cost, c.now.Sub(call.SentAt), v != Unknown && v != NotSent)
+	c.changed = c.changed || c.held > 0
 }
 
 func (c *Cell) stopAnswered(e StopAnswered) {
+	c.callOver(e.Call, e.Verdict)
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
@@ -148,6 +163,8 @@
 		}
 	case Superseded:
 		c.reload("a worker has seen a higher epoch")
+	default:
+		p.stops++
 	}
 }
 
@@ -239,7 +256,7 @@
 func (c *Cell) checkRuns() {
 	for _, w := range c.list {
 		for _, p := range sortedRuns(w) {
-			if p.phase == phaseStopping && !p.stopping && !p.barred && c.now.Sub(p.stopSentAt) >= stopRetry {
+			if p.phase == phaseStopping && !p.stopping && !p.barred && c.now.Sub(p.stopSentAt) >= stopRetry<<min(p.stops, maxStopDoublings) {
 				c.sendStop(p)
 			}
 			// Only answers of the worker tell; one that is cut off may work on.
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -8,6 +8,7 @@
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 	"github.com/gentianpick/gentianpick/internal/policy/rank"
 )
 
@@ -24,6 +25,9 @@
 	// permitMargin is how much longer a permit must be valid than until the
 	// placement; the store and the way to the worker take part of it.
 	permitMargin = 150 * time.Millisecond
+	// askAhead is how many times what may be under way can be ahead of a group that
+	// asks which workers may run it. It covers the time to the answer.
+	askAhead = 8
 	// headroomCPU is left free on each worker by work that is not urgent, in
 	// thousandths of a core. It takes one task of a usual urgent job.
 	headroomCPU = 1500
@@ -38,7 +42,7 @@
 	c.sortReady()
 	c.measureRoom()
 	clear(c.reserved)
-	c.reservations = 0
+	c.reservations, c.held = 0, 0
 	kept := c.ready[:0]
 	for _, g := range c.ready {
 		if g.pending > 0 && !g.job.state.Final() {
@@ -52,6 +56,25 @@
 	}
 	clear(c.ready[len(kept):])
 	c.ready = kept
+	c.pace.Held(c.now, c.held > 0)
+}
+
+// startCost returns the bytes that a start with a payload takes.
+func startCost(payload int) int { return pacing.StartCost + payload }
+
+// turn returns how many tasks of a group may be placed now, so that their starts
+// are not sent behind too many others. A gang starts whole or not at all, so
+// that any room lets it through.
+func (c *Cell) turn(g *group) int {
+	room := c.pace.Room()
+	switch cost := startCost(len(g.job.payload)); {
+	case room == 0:
+		return 0
+	case g.step.Gang:
+		return g.pending
+	default:
+		return min(g.pending, (room+cost-1)/cost)
+	}
 }
 
 func (c *Cell) sortReady() {
@@ -119,16 +142,26 @@
 		c.reserve(g, q, d)
 		return // no worker has room for even one task
 	}
+	turn := c.turn(g)
+	if turn < g.pending {
+		c.held += (g.pending - turn) * startCost(len(g.job.payload))
+	}
+	if turn == 0 {
+		if len(g.permits) == 0 && q.Eligibility.Needed() && c.held <= askAhead*c.pace.Limit() {
+			c.askFor(g, q)
+		}
+		return
+	}
 	candidates, workers := c.candidates(g, q)
 	var got []int
 	if len(candidates) > 0 {
 		if g.step.Gang {
 			got = fit.PlaceAll(d, candidates, g.pending)
 		} else {
-			got = fit.Place(d, candidates, g.pending)
+			got = fit.Place(d, candidates, turn)
 		}
 	}
-	if len(got) < g.pending && q.Eligibility.Needed() {
+	if len(got) < turn && q.Eligibility.Needed() {
 		c.askFor(g, q)
 	}
 	if len(got) == 0 {
@@ -209,6 +242,8 @@
 		run = g.tasks[index].run + 1
 	}
 	p := c.newPlacement(g, index, w, run)
+	p.cost = startCost(len(g.job.payload))
+	c.pace.AddStart(c.priorityOf(g.job.queue), p.cost)
 	w.probe = false
 	c.planned = append(c.planned, p)
 	c.observe("placement_wait_seconds", g.job.queue, c.now.Sub(g.readyAt))
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -326,12 +326,12 @@
 		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, Peek: e.Peek}, s.now)
 	case Start:
 		n.order(life, e.Worker, func(w *simWorker) Event {
-			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e)}
-		}, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown}, s.now)
+			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e), Call: e.Call}
+		}, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}, s.now)
 	case Stop:
 		n.order(life, e.Worker, func(w *simWorker) Event {
-			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.stop(e)}
-		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown}, s.now)
+			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.stop(e), Call: e.Call}
+		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}, s.now)
 	case Ask:
 		s.after(e.Cost, func() {
 			a := EligibilityAnswered{Advisor: e.Advisor, Job: e.Job, Step: e.Step, Occur: e.Occur, Asked: e.Workers, ValidFor: 2500 * time.Millisecond}
--- a/internal/cell/simlink_test.go
+++ b/internal/cell/simlink_test.go
@@ -99,13 +99,13 @@
 		}
 		l.send(bytes, func() { n.append(life, e, sent, false) })
 	case Start:
-		answer := StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown}
+		answer := StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}
 		l.call(life, e.Worker, startBytes+len(e.Payload), e.Timeout, answer, func(w *simWorker, reply func(Event)) {
 			answer.Verdict = w.start(e)
 			reply(answer)
 		})
 	case Stop:
-		answer := StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown}
+		answer := StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}
 		l.call(life, e.Worker, stopBytes, e.Timeout, answer, func(w *simWorker, reply func(Event)) {
 			answer.Verdict = w.stop(e)
 			reply(answer)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -6,6 +6,7 @@
 	"github.com/gentianpick/gentianpick/internal/health"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 )
 
 // job is one job of the cell.
@@ -131,6 +132,8 @@
 	confirmedAt model.Time // when the worker was first known to have it
 	stopSentAt  model.Time
 	stopping    bool // a stop is in flight
+	stops       int  // that had no answer
+	cost        int  // of its start, in bytes, as long as that is to be sent
 	barred      bool // the worker has accepted a stop
 	reason      string
 
@@ -169,6 +172,7 @@
 	// refusedUntil keeps new work away after the worker refused a start.
 	refusedUntil model.Time
 	judgeAt      model.Time // no verdict on its pace before
+	peeking      bool       // a renewal that does not wait is under way
 	probe        bool       // may get one task although it is in quarantine
 }
 
@@ -225,6 +229,8 @@
 	mostFree     model.Resources // in each kind, at any usable worker
 	resort       bool
 	rankedAt     model.Time
+	pace         *pacing.Pacer
+	held         int                // bytes of starts that the last pass held back
 	reserved     map[*worker]*group // for gangs that wait
 	reservations int                // gangs that workers are reserved for in this pass
 	dirty        []*job
@@ -291,6 +297,7 @@
 		learned:  map[string]*queueStats{},
 		health:   health.New(healthConfig()),
 		reserved: map[*worker]*group{},
+		pace:     pacing.New(cfg.Bandwidth, cfg.Cores),
 	}
 }
 
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -47,12 +47,16 @@
 		// them again at once.
 		return c.now.Sub(w.renewSent) >= renewPause
 	}
-	return true
+	return c.now.Sub(w.renewSent) >= c.pace.Spacing()
 }
 
 // peek asks a worker for its runs without waiting for one to end.
 func (c *Cell) peek(w *worker) {
-	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: renewMargin})
+	if w.peeking {
+		return // its answer, or the renewal that waits, tells
+	}
+	w.peeking = true
+	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: c.pace.Timeout(renewMargin)})
 }
 
 func (c *Cell) renew(w *worker) {
@@ -72,7 +76,7 @@
 	default:
 		r.Wait = idleWait
 	}
-	r.Timeout = r.Wait + renewMargin
+	r.Timeout = r.Wait + c.pace.Timeout(renewMargin)
 	c.emit(r)
 }
 
@@ -103,7 +107,9 @@
 	if w == nil {
 		return
 	}
-	if !e.Peek {
+	if e.Peek {
+		w.peeking = false
+	} else {
 		w.renewing = false
 	}
 	switch e.Verdict {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -36,12 +36,12 @@
 		case cell.Start:
 			go func() {
 				v := n.deps.Workers.Start(l.ctx, e)
-				n.send(l, cell.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v})
+				n.send(l, cell.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v, Call: e.Call})
 			}()
 		case cell.Stop:
 			go func() {
 				v := n.deps.Workers.Stop(l.ctx, e)
-				n.send(l, cell.StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v})
+				n.send(l, cell.StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v, Call: e.Call})
 			}()
 		case cell.Ask:
 			go n.ask(l, e)
--- /dev/null
+++ b/internal/policy/pacing/pacing.go
@@ -0,0 +1,231 @@
+// Package pacing decides how much an owner may have under way to its workers.
+//
+// It answers a burst of starts on a narrow link or a slow processor. Calls that
+// are sent regardless queue behind each other until their timeouts pass; each of
+// them then costs a stop and a new connection, which queue as well, and the
+// instance sends at its limit for ever while little of it is of use. Work that
+// waits here instead is sent in the order of its rank.
+package pacing
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// Costs of calls in bytes on the wire, about, without what is particular to one.
+const (
+	// StartCost is that of a start without its payload: headers, task, lease and
+	// acknowledgements.
+	StartCost = 500
+	// StopCost is that of a stop.
+	StopCost = 400
+)
+
+const (
+	// slowAfter is the time to an answer from which on a call has waited behind
+	// others. Workers answer within milliseconds; the rest of it covers an instance
+	// of an eighth of a core, and it is well below the slack of urgent work.
+	slowAfter = 80 * time.Millisecond
+	// initialQueue is the time in which the link sends the first limit, and the
+	// processor works it off.
+	initialQueue = 50 * time.Millisecond
+	// coreRate is the bytes of starts a second that a core works off, with the
+	// renewals, ends and entries that come with them.
+	coreRate = 1_500_000
+	// period is the time after which the limit is judged.
+	period = 100 * time.Millisecond
+	// minSlow is the number of slow answers in a period that says anything.
+	minSlow = 3
+	// shrink and grow change the limit; growth is slower, so that it settles.
+	shrink = 0.7
+	grow   = 1.1
+	// growBytes is added at least, so that a small limit recovers soon.
+	growBytes = 1000
+	// minLimit lets a few calls through whatever the answers say, since only
+	// answers tell that the way is free again.
+	minLimit = 4 << 10
+	// maxLimit is above what bursts on sites with wide links need, and in a
+	// tenth of a second on 40 Mbit/s.
+	maxLimit = 512 << 10
+	// stopShare times the limit may be under way with stops, which free room and
+	// must not wait behind starts.
+	stopShare = 2
+	// delayWeight is the weight of one answer in the usual delay.
+	delayWeight = 0.1
+	// timeoutFactor times the usual delay is waited at least for an answer.
+	timeoutFactor = 4
+	// maxBackoff bounds the growth of timeouts while most calls have no answer in
+	// time. Late answers are of use; calls that are given up only add others.
+	maxBackoff = 4
+	// maxTimeout bounds the wait for an answer. The way to a worker that is gone
+	// has to be noticed while its tasks can be in time.
+	maxTimeout = time.Second
+	// spacingFactor times the usual delay separates renewals at one worker when
+	// calls are slow; several ends are then told by one answer.
+	spacingFactor = 3
+	// maxSpacing stays far below leases and below the patience of urgent work.
+	maxSpacing = 400 * time.Millisecond
+	// rateWeight is the weight of one period in the rate.
+	rateWeight = 0.2
+	// sustained is how long work must have been held back for the rate to be that
+	// of the instance and not of a moment.
+	sustained = 500 * time.Millisecond
+	// longestWait is how long work may wait for its turn to be sent. What would
+	// wait longer is better handed in again later.
+	longestWait = 8 * time.Second
+	// leastShare of the rate is left for any work: urgent work comes in waves.
+	leastShare = 0.1
+	// retryShare of the expected wait is when a caller should come back: by then
+	// a good part of what was ahead is gone, and others come back as well.
+	retryShare = 0.5
+	minRetry   = time.Second
+	maxRetry   = 4 * time.Second
+)
+
+// Pacer is the state of the decision. It is not safe for concurrent use.
+type Pacer struct {
+	limit    float64 // bytes that may be under way
+	under    int     // bytes of calls under way and of placements to be sent
+	delay    time.Duration
+	backoff  time.Duration // factor of timeouts
+	began    model.Time    // of the period
+	quick    int           // answers in the period
+	slow     int
+	answered int  // bytes answered in the period
+	full     bool // the limit was reached in the period
+	held     model.Time
+	rate     float64 // bytes answered a second while work was held back
+	// starts and startRates are the bytes of starts that were added in the period,
+	// and a second while work was held back, by priority.
+	starts     map[int]int
+	startRates map[int]float64
+}
+
+// New returns the state of an instance whose link has a rate in bytes a second,
+// and that has a number of cores; zero if they are not known.
+func New(bandwidth int64, cores float64) *Pacer {
+	limit := float64(maxLimit)
+	if bandwidth > 0 {
+		limit = min(limit, float64(bandwidth)*initialQueue.Seconds())
+	}
+	if cores > 0 {
+		limit = min(limit, cores*coreRate*initialQueue.Seconds())
+	}
+	return &Pacer{limit: max(limit, minLimit), backoff: 1, starts: map[int]int{}, startRates: map[int]float64{}}
+}
+
+// Room returns how many bytes of starts may be added.
+func (p *Pacer) Room() int { return max(0, int(p.limit)-p.under) }
+
+// StopAllowed reports whether a stop may be sent.
+func (p *Pacer) StopAllowed() bool { return p.under < int(stopShare*p.limit) }
+
+// Add notes a call that is to be sent.
+func (p *Pacer) Add(cost int) { p.under += cost }
+
+// AddStart notes a start of work of a priority that is to be sent.
+func (p *Pacer) AddStart(priority, cost int) {
+	p.Add(cost)
+	p.starts[priority] += cost
+}
+
+// Drop notes that a call is not sent after all.
+func (p *Pacer) Drop(cost int) { p.under -= cost }
+
+// Answered notes that a call is over after a time, with or without an answer.
+func (p *Pacer) Answered(now model.Time, cost int, took time.Duration, answer bool) {
+	if p.Room() == 0 {
+		p.full = true
+	}
+	p.under -= cost
+	if answer {
+		p.answered += cost
+		p.delay += time.Duration(delayWeight * float64(took-p.delay))
+	}
+	if took > slowAfter {
+		p.slow++
+	} else {
+		p.quick++
+	}
+	if now.Sub(p.began) >= period {
+		p.judge(now)
+	}
+}
+
+// judge adapts the limit to the answers of a period. The majority counts: a
+// few workers that do not answer say nothing about the instance.
+func (p *Pacer) judge(now model.Time) {
+	switch {
+	case p.slow > p.quick && p.slow >= minSlow:
+		p.limit = max(p.limit*shrink, minLimit)
+		p.backoff = min(2*p.backoff, maxBackoff)
+	case p.quick > p.slow:
+		p.backoff = max(p.backoff/2, 1)
+		if p.full {
+			p.limit = min(max(p.limit*grow, p.limit+growBytes), maxLimit)
+		}
+	}
+	if p.full {
+		seconds := now.Sub(p.began).Seconds()
+		p.rate += rateWeight * (float64(p.answered)/seconds - p.rate)
+		for priority := range p.starts {
+			p.startRates[priority] += 0 // is in the map from now on
+		}
+		for priority, rate := range p.startRates {
+			p.startRates[priority] += rateWeight * (float64(p.starts[priority])/seconds - rate)
+		}
+	}
+	clear(p.starts)
+	p.began, p.quick, p.slow, p.answered, p.full = now, 0, 0, 0, false
+}
+
+// Held notes whether work was held back at a time.
+func (p *Pacer) Held(now model.Time, held bool) {
+	switch {
+	case !held:
+		p.held = 0
+	case p.held == 0:
+		p.held = now
+	}
+}
+
+// Timeout returns how long an answer is waited for that usually takes up to a
+// time.
+func (p *Pacer) Timeout(usual time.Duration) time.Duration {
+	return max(usual, min(p.backoff*max(usual, timeoutFactor*p.delay), maxTimeout))
+}
+
+// Spacing returns the pause between renewals at one worker.
+func (p *Pacer) Spacing() time.Duration {
+	if p.delay < slowAfter/2 {
+		return 0
+	}
+	return min(spacingFactor*p.delay, maxSpacing)
+}
+
+// Overloaded reports whether work of a priority must be refused that would be
+// sent after ahead bytes, and when its caller should come back. More urgent work
+// that comes meanwhile goes first as well.
+func (p *Pacer) Overloaded(now model.Time, priority, ahead int) (bool, time.Duration) {
+	if p.held == 0 || now.Sub(p.held) < sustained || p.rate <= 0 {
+		return false, 0
+	}
+	left := p.rate
+	for other, rate := range p.startRates {
+		if other < priority {
+			left -= rate
+		}
+	}
+	wait := time.Duration(float64(ahead) / max(left, leastShare*p.rate) * float64(time.Second))
+	if wait <= longestWait {
+		return false, 0
+	}
+	return true, min(max(time.Duration(retryShare*float64(wait)), minRetry), maxRetry)
+}
+
+// Limit returns the bytes that may be under way.
+func (p *Pacer) Limit() int { return int(p.limit) }
+
+// Delay returns the usual time to an answer.
+func (p *Pacer) Delay() time.Duration { return p.delay }
--- /dev/null
+++ b/internal/policy/pacing/pacing_test.go
@@ -0,0 +1,169 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+const start = model.Time(time.Hour)
+
+// serve sends calls of a cost, as many as the pacer allows at a time, over a link
+// with a rate in bytes a second for a time. It returns the bytes that were sent
+// and the longest wait for an answer.
+func serve(p *Pacer, rate float64, cost int, d time.Duration) (sent int, longest time.Duration) {
+	type call struct{ sentAt, doneAt model.Time }
+	var open []call
+	free := start
+	for now := start; now < start.Add(d); now = now.Add(time.Millisecond) {
+		for len(open) > 0 && open[0].doneAt <= now {
+			took := open[0].doneAt.Sub(open[0].sentAt)
+			p.Answered(now, cost, took, true)
+			longest = max(longest, took)
+			open = open[1:]
+		}
+		for p.Room() > 0 {
+			p.Add(cost)
+			sent += cost
+			free = max(free, now).Add(time.Duration(float64(cost) / rate * float64(time.Second)))
+			open = append(open, call{now, free.Add(2 * time.Millisecond)})
+		}
+		p.Held(now, true)
+	}
+	for _, c := range open {
+		p.Answered(c.doneAt, cost, c.doneAt.Sub(c.sentAt), true)
+	}
+	return sent, longest
+}
+
+// Starts without a bound waited for seconds behind each other on a narrow link,
+// far beyond their timeout.
+func TestLimitFollowsTheLink(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		bandwidth int64 // as the settings say
+		rate      float64
+	}{
+		{"2 Mbit/s", 250_000, 250_000},
+		{"10 Mbit/s", 1_250_000, 1_250_000},
+		{"unknown, 2 Mbit/s", 0, 250_000},
+		{"the processor is slower than the link", 25_000_000, 250_000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := New(c.bandwidth, 0)
+			serve(p, c.rate, 1000, 2*time.Second) // finds its limit
+			sent, longest := serve(p, c.rate, 1000, 10*time.Second)
+			is.True(longest < 200*time.Millisecond)            // the timeout of a start
+			is.True(float64(sent) > 0.9*10*c.rate)             // the link is used
+			is.True(p.Timeout(time.Millisecond) < time.Second) // and its timeouts stay short
+		})
+	}
+}
+
+// Calls that a busy instance gave up after a fixed time cost it a stop and a new
+// connection each, which made it busier.
+func TestTimeoutsGrowWhileNothingAnswers(t *testing.T) {
+	is := is.New(t)
+	p := New(0, 0.12)
+	now := start
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		p.Add(1000)
+		p.Answered(now, 1000, 200*time.Millisecond, false)
+	}
+	is.True(p.Timeout(200*time.Millisecond) >= 800*time.Millisecond)
+	is.True(p.Timeout(200*time.Millisecond) <= time.Second)
+	is.True(p.Room() > 0) // a few calls are always tried
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		p.Add(1000)
+		p.Answered(now, 1000, 5*time.Millisecond, true)
+	}
+	is.Equal(p.Timeout(200*time.Millisecond), 200*time.Millisecond)
+}
+
+// A few workers that do not answer must not slow the work for all others.
+func TestDeadWorkersDoNotShrinkTheLimit(t *testing.T) {
+	is := is.New(t)
+	p := New(25_000_000, 0.8)
+	before := p.Limit()
+	now := start
+	for i := range 2000 {
+		now = now.Add(time.Millisecond)
+		p.Add(1000)
+		if i%3 == 0 {
+			p.Answered(now, 1000, 200*time.Millisecond, false)
+		} else {
+			p.Answered(now, 1000, 3*time.Millisecond, true)
+		}
+	}
+	is.True(p.Limit() >= before)
+	is.Equal(p.Spacing(), time.Duration(0))
+	is.Equal(p.Timeout(200*time.Millisecond), 200*time.Millisecond)
+}
+
+// All that is added is taken back, so that no room is lost for good.
+func TestRoomComesBack(t *testing.T) {
+	is := is.New(t)
+	p := New(250_000, 0)
+	room := p.Room()
+	p.Add(700)
+	p.Drop(700)
+	p.Add(900)
+	p.Answered(start, 900, time.Millisecond, false)
+	is.True(p.Room() >= room)
+}
+
+// Stops free room, so they go on when starts have to wait, but not without end.
+func TestStopsGoBeforeStarts(t *testing.T) {
+	is := is.New(t)
+	p := New(250_000, 0)
+	p.Add(p.Limit())
+	is.Equal(p.Room(), 0)
+	is.True(p.StopAllowed())
+	p.Add(p.Limit())
+	is.True(!p.StopAllowed())
+}
+
+// Work that would wait too long for its turn is refused with a time to come
+// back; a burst of a moment is not.
+func TestOverloaded(t *testing.T) {
+	is := is.New(t)
+	p := New(250_000, 0)
+	over, _ := p.Overloaded(start, 0, 1<<30)
+	is.True(!over) // nothing is known of it yet
+	serve(p, 250_000, 1000, 3*time.Second)
+	now := start.Add(3 * time.Second)
+	over, _ = p.Overloaded(now, 0, 100_000) // 0.4 s
+	is.True(!over)
+	over, retry := p.Overloaded(now, 0, 5_000_000) // 20 s
+	is.True(over)
+	is.True(retry >= time.Second && retry <= 4*time.Second)
+	p.Held(now, false)
+	over, _ = p.Overloaded(now, 0, 5_000_000)
+	is.True(!over) // nothing waits any more
+}
+
+// Batch work was accepted for a time at which urgent work that came later had
+// taken its turn.
+func TestUrgentWorkTakesItsShareFirst(t *testing.T) {
+	is := is.New(t)
+	p := New(250_000, 0)
+	now := start
+	for i := range 3000 {
+		now = now.Add(4 * time.Millisecond) // 250 KB/s
+		p.AddStart(i%10/9, 1000)            // nine in ten are urgent
+		p.Add(p.Room())
+		p.Answered(now, 1000, 10*time.Millisecond, true)
+		p.Drop(p.under)
+		p.Held(now, true)
+	}
+	over, _ := p.Overloaded(now, 0, 1_000_000) // 4 s
+	is.True(!over)
+	over, _ = p.Overloaded(now, 1, 1_000_000) // 40 s at what urgent work leaves
+	is.True(over)
+}
