Submissions are refused when their work would wait too long for its turn

The owner compares the bytes of starts ahead of a new job with the rate that it has measured while work was held back, less what more urgent work takes, and refuses what would wait for more than 8 s, with the time to come back. Such a refusal is final: the instance that asked does not store the job itself.

--- a/internal/cell/offers.go
+++ b/internal/cell/offers.go
@@ -24,6 +24,11 @@
 		c.emit(OfferSettled{Ticket: e.Ticket, Stored: true})
 		return
 	}
+	if over, retry := c.pace.Overloaded(c.now, c.priorityOf(e.Job.Queue), c.sentBefore(&e.Job)); over {
+		c.log("submission refused", e.Job.ID, Fields{Reason: "overloaded", Age: retry, Count: c.held})
+		c.emit(OfferSettled{Ticket: e.Ticket, Overloaded: true, RetryAfter: retry})
+		return
+	}
 	c.jobAdded(e.Job, InProgress)
 	j = c.jobs[e.Job.ID]
 	j.unstored, j.offers = true, []uint64{e.Ticket}
@@ -31,6 +36,25 @@
 	c.offered = append(c.offered, Entry{Key: jobs.JobKey(j.id), Value: e.Value})
 }
 
+// sentBefore returns the bytes of the starts that go before those of a new job,
+// which are those of waiting work of its priority or a higher one, and its own.
+func (c *Cell) sentBefore(n *jobs.Job) int {
+	if c.held == 0 {
+		return 0
+	}
+	priority := c.priorityOf(n.Queue)
+	bytes := 0
+	for _, g := range c.ready {
+		if c.priorityOf(g.job.queue) <= priority {
+			bytes += g.pending * startCost(len(g.job.payload))
+		}
+	}
+	for i := range n.Steps {
+		bytes += n.Steps[i].Tasks * startCost(len(n.Payload))
+	}
+	return bytes
+}
+
 func (c *Cell) cancelOffered(e CancelOffered) {
 	j := c.jobs[e.ID]
 	if !c.takesOffers() || j == nil || j.unstored {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -79,6 +79,9 @@
 type SubmitReply struct {
 	Stored  bool `json:"stored"`
 	InDoubt bool `json:"in_doubt,omitempty"`
+	// RetryMs is set if the owner refuses since it is overloaded: when the caller
+	// should come back, in milliseconds.
+	RetryMs int64 `json:"retry_ms,omitempty"`
 }
 
 // AskRequest asks for one eligibility call.
--- a/internal/node/offers.go
+++ b/internal/node/offers.go
@@ -58,7 +58,7 @@
 	n.post(event)
 	select {
 	case s := <-settled:
-		return result{stored: s.Stored, inDoubt: s.InDoubt}
+		return result{stored: s.Stored, inDoubt: s.InDoubt, retryAfter: s.RetryAfter}
 	case <-ctx.Done():
 		n.offers.drop(ticket)
 		return result{inDoubt: true}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -224,7 +224,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	out := p.n.offer(ctx, r.Entry)
-	return link.SubmitReply{Stored: out.stored, InDoubt: out.inDoubt}
+	return link.SubmitReply{Stored: out.stored, InDoubt: out.inDoubt, RetryMs: out.retryAfter.Milliseconds()}
 }
 
 // Ask implements link.Handler.
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -158,7 +158,12 @@
 }
 
 // result is the answer of one way to store an entry.
-type result struct{ stored, inDoubt bool }
+type result struct {
+	stored, inDoubt bool
+	// retryAfter is set if the owner refuses since it is overloaded: when the
+	// caller should come back.
+	retryAfter time.Duration
+}
 
 // put stores an entry. A certain failure is final at once. One in doubt is
 // tried again until the caller's deadline, since the entry is the same each
@@ -171,6 +176,9 @@
 			return Outcome{Kind: Done}
 		}
 		inDoubt = inDoubt || r.inDoubt
+		if !inDoubt && r.retryAfter > 0 {
+			return Outcome{Kind: Refused, Refusal: Refusal{Reason: Overloaded, RetryAfter: r.retryAfter}}
+		}
 		if !inDoubt {
 			return s.n.refusedByStore()
 		}
@@ -187,7 +195,7 @@
 	results := make(chan result, 2)
 	go func() { results <- s.viaOwner(ctx, e) }()
 	begun := s.n.deps.Now()
-	inDoubt, open, direct := false, 1, false
+	inDoubt, open, direct, overloaded := false, 1, false, time.Duration(0)
 	begin := func() {
 		direct = true
 		open++
@@ -213,11 +221,12 @@
 			}
 			inDoubt = inDoubt || r.inDoubt
 			open--
-			if !direct && admission.Answering(s.n.storeAge()) {
+			overloaded = max(overloaded, r.retryAfter)
+			if !direct && overloaded == 0 && admission.Answering(s.n.storeAge()) {
 				begin()
 			}
 			if open == 0 {
-				return result{inDoubt: inDoubt}
+				return result{inDoubt: inDoubt, retryAfter: overloaded}
 			}
 		}
 	}
@@ -243,7 +252,7 @@
 		if reply.Stored {
 			s.n.latency.add(s.n.deps.Now().Sub(sent))
 		}
-		return result{stored: reply.Stored, inDoubt: reply.InDoubt}
+		return result{stored: reply.Stored, inDoubt: reply.InDoubt, retryAfter: time.Duration(reply.RetryMs) * time.Millisecond}
 	}
 	if errors.Is(err, link.ErrNoLink) {
 		return result{}
