Test of a worker that was cut off sees runs that were lost and started again

TestRunsOfCutOffWorkerAreKept passed when all four runs had lapsed, or had been stopped, and second runs were there: it looked only at the phase of what ran in the end, and its cut was longer than what was left of the lease. It now fails at each stop and each lost run, asks for the first run, and cuts for 4 s, below the lease.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -305,16 +305,22 @@
 func TestRunsOfCutOffWorkerAreKept(t *testing.T) {
 	is := is.New(t)
 	s, n := owned(t, 1, 1)
+	s.onLog = func(l Log) {
+		if l.What == "stop sent" || l.What == "run lost" {
+			t.Errorf("%s: %v run %d, %s", l.What, l.Task, l.Run, l.Reason)
+		}
+	}
 	s.put("00000000000000fb", "batch", jobs.Step{Tasks: 4, Need: cores(1), EstimateMs: 9000})
 	s.run(time.Second)
 	n.away[s.workers[0]] = true
-	s.run(4500 * time.Millisecond)
+	s.run(4 * time.Second)
 	delete(n.away, s.workers[0])
 	s.run(time.Second)
+	is.Equal(len(n.cell.list[0].runs), len(s.workers[0].runs))
 	for _, p := range n.cell.list[0].runs {
 		is.Equal(p.phase, phaseRunning)
+		is.Equal(p.run, 1) // neither stopped nor lapsed
 	}
-	is.Equal(len(s.workers[0].runs), 4)
 }
 
 // A run that a restarted worker had begun in its new life was taken for one of
