A late ping does not end the link to an owner that acts

While the owner shows itself in the progress stream, the link is now kept until it has been silent for 1 s.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -28,6 +28,10 @@
 	pingInterval = 150 * time.Millisecond
 	pingTimeout  = 250 * time.Millisecond
 	dialTimeout  = 300 * time.Millisecond
+	// maxSilence is how long an owner that is known to act may answer no ping. A
+	// busy one answers late; a new connection would only add to its work. It bounds
+	// the time for which a silent connection is kept.
+	maxSilence = time.Second
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = time.Second
 	// redialPause separates attempts to reach the owner.
@@ -106,6 +110,8 @@
 	Ask(ctx context.Context, r AskRequest) AskReply
 	// Name returns the instance's incarnation.
 	Name() string
+	// OwnerActs reports whether the owner has shown itself elsewhere in a moment.
+	OwnerActs() bool
 	// Connected and Disconnected tell of instances that dialled this one.
 	Connected(name string, p *Peer)
 	Disconnected(name string, p *Peer)
@@ -345,6 +351,7 @@
 
 // watch returns when the connection is lost or silent.
 func (c *Client) watch(ctx context.Context, conn *jsonrpc2.Conn) error {
+	answered := time.Now()
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -353,9 +360,11 @@
 			return ctx.Err()
 		case <-time.After(pingInterval):
 		}
-		// One late answer may be a pause of the process, but a new connection
-		// costs little, and the owner is suspected only if it is silent elsewhere.
-		if _, err := callWithin[bool](ctx, conn, methodPing, struct{}{}); err != nil {
+		_, err := callWithin[bool](ctx, conn, methodPing, struct{}{})
+		switch {
+		case err == nil:
+			answered = time.Now()
+		case !errors.Is(err, context.DeadlineExceeded), time.Since(answered) >= maxSilence, !c.h.OwnerActs():
 			return err
 		}
 	}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -30,7 +30,7 @@
 			go func() {
 				sent := n.deps.Now()
 				r := n.deps.Workers.Renew(l.ctx, e)
-				r.SentAt, r.Peek = sent, e.Peek
+				r.SentAt, r.Peek, r.Call = sent, e.Peek, e.Call
 				n.send(l, r)
 			}()
 		case cell.Start:
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -22,6 +22,9 @@
 	// jobs wait. It is above the pause between reads of submissions, and below the
 	// 5 s after which callers may expect a job to be counted.
 	oldestCount = 4500 * time.Millisecond
+	// ownerActs is the age of an owner's newest entry up to which it counts as
+	// acting. It covers the pause between reads and a heartbeat.
+	ownerActs = 700 * time.Millisecond
 	// storeSilence is how long the store may be out of reach before the instance
 	// asks the balancer for no more connections. It is above the pause between
 	// reads and the time of one from a store that is sixty times slower.
@@ -237,6 +240,13 @@
 	return reply
 }
 
+// OwnerActs implements link.Handler.
+func (p peers) OwnerActs() bool {
+	p.n.mu.Lock()
+	defer p.n.mu.Unlock()
+	return p.n.cell.OwnerAge(p.n.deps.Now()) < ownerActs
+}
+
 // Connected implements link.Handler.
 func (p peers) Connected(name string, peer *link.Peer) {
 	n := p.n
