A new owner asks workers and eligibility no faster than it is answered

After a takeover an owner asked all workers and about all waiting groups at once; with 0.19 core it answered nothing else for seconds, and calls that failed were made again every 150 ms (1,109 in 3.5 s). Renewals that are answered at once now count towards what may be under way, eligibility calls have a bound of their own, and a group whose call failed waits twice as long each time. The rate that submissions are judged by counts starts only.

--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -80,9 +80,15 @@
 // at the workers that are known to be eligible.
 const askRetry = 150 * time.Millisecond
 
+// maxAskDoublings bounds the growth of that pause while calls fail.
+const maxAskDoublings = 3
+
 // askFor asks which workers may run a group, if a call can help.
 func (c *Cell) askFor(g *group, q *jobs.Queue) {
-	if g.asking > 0 || g.askedAt != 0 && c.now.Sub(g.askedAt) < askRetry {
+	if g.asking > 0 || g.askedAt != 0 && c.now.Sub(g.askedAt) < askRetry<<min(g.askFailed, maxAskDoublings) {
+		return
+	}
+	if c.asking >= c.pace.Asks(q.Priority == 0) {
 		return
 	}
 	a := c.freeAdvisor(q.Eligibility.Base)
@@ -97,6 +103,7 @@
 	a.calls++
 	a.freeFrom = max(a.freeFrom, c.now).Add(cost)
 	g.asking++
+	c.asking++
 	g.askedAt = c.now
 	c.log("eligibility asked", g.job.id, Fields{Count: len(names), Reason: a.name, Age: c.now.Sub(g.readyAt)})
 	c.emit(Ask{Advisor: a.name, Job: g.job.id, Step: g.index, Occur: g.occurrence, Workers: names, Cost: cost})
@@ -170,6 +177,7 @@
 }
 
 func (c *Cell) eligibilityAnswered(e EligibilityAnswered) {
+	c.asking--
 	if a := c.advisors[e.Advisor]; a != nil && a.calls > 0 {
 		a.calls--
 		if a.calls == 0 {
@@ -187,9 +195,11 @@
 	c.changed = true
 	g.asking = max(0, g.asking-1)
 	if e.Failed {
+		g.askFailed++
 		c.log("eligibility call failed", j.id, Fields{Reason: e.Advisor, Age: c.now.Sub(g.askedAt)})
 		return
 	}
+	g.askFailed = 0
 	c.observe("eligibility_seconds", j.queue, c.now.Sub(g.askedAt))
 	if more := len(c.list) - len(g.permits); more > 0 {
 		g.permits = append(g.permits, make([]permit, more)...)
--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -45,6 +45,7 @@
 	// Peek marks a renewal beside the one that waits at the worker. It settles
 	// runs sooner.
 	Peek bool
+	Call Call // its cost is zero if the worker holds the answer back
 }
 
 // Call is what a call to a worker costs, for the answer to it.
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -120,6 +120,7 @@
 	Running []RunStatus
 	Ended   []RunEnd
 	Peek    bool // as in the Renew
+	Call    Call // as in the Renew
 }
 
 // StartAnswered is the answer to a Start.
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -323,7 +323,7 @@
 			reply(Claimed{Epoch: e.Claim.Epoch, SentAt: s.now, Won: ok})
 		})
 	case Renew:
-		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, Peek: e.Peek}, s.now)
+		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, Peek: e.Peek, Call: e.Call}, s.now)
 	case Start:
 		n.order(life, e.Worker, func(w *simWorker) Event {
 			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e), Call: e.Call}
@@ -433,10 +433,11 @@
 		}
 		answer := call(w)
 		if r, ok := answer.(Renewed); ok {
-			r.SentAt, r.Peek = none.(Renewed).SentAt, none.(Renewed).Peek
+			r.SentAt, r.Peek, r.Call = none.(Renewed).SentAt, none.(Renewed).Peek, none.(Renewed).Call
 			answer = r
-			// A renewal is answered when a run ends, or after its wait.
-			if len(r.Ended) == 0 && r.Verdict == Accepted && !r.Peek {
+			// A renewal is answered when a run ends, or after its wait. One that has a
+			// cost does not wait.
+			if len(r.Ended) == 0 && r.Verdict == Accepted && r.Call.Cost == 0 {
 				w.waiting = append(w.waiting, func() {
 					if !w.up {
 						s.after(timeout, func() { n.send(life, none) })
@@ -459,7 +460,7 @@
 func (n *simNode) deliver(life int, w *simWorker, e Event) {
 	if n.away[w] {
 		if r, ok := e.(Renewed); ok {
-			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown, Peek: r.Peek}
+			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown, Peek: r.Peek, Call: r.Call}
 		}
 		n.s.after(300*time.Millisecond, func() { n.send(life, e) })
 		return
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -58,11 +58,12 @@
 	failedRun int
 	placed    int // placements of the present run that are not over
 
-	permits  []permit      // by worker number; empty until the first answer
-	eligible []eligibility // what the eligibility service said, by worker number
-	asking   int           // calls in flight
-	askedAt  model.Time
-	rank     int64 // order among ready groups; lower goes first
+	permits   []permit      // by worker number; empty until the first answer
+	eligible  []eligibility // what the eligibility service said, by worker number
+	asking    int           // calls in flight
+	askFailed int           // calls in a row without an answer
+	askedAt   model.Time
+	rank      int64 // order among ready groups; lower goes first
 }
 
 // eligibility is what is known of one worker for one group.
@@ -231,6 +232,7 @@
 	rankedAt     model.Time
 	pace         *pacing.Pacer
 	held         int                // bytes of starts that the last pass held back
+	asking       int                // eligibility calls in flight
 	reserved     map[*worker]*group // for gangs that wait
 	reservations int                // gangs that workers are reserved for in this pass
 	dirty        []*job
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -6,6 +6,7 @@
 	"github.com/gentianpick/gentianpick/internal/health"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 	"github.com/gentianpick/gentianpick/internal/policy/stall"
 )
 
@@ -38,6 +39,8 @@
 	switch {
 	case w.renewing || w.info.Address == "":
 		return false
+	case !w.fenced && !c.pace.StopAllowed():
+		return false // a new owner asks all workers
 	case !w.listed && len(w.runs) == 0 && w.seenEnd == w.durableEnd:
 		return false
 	case w.failedCalls > 0:
@@ -56,7 +59,15 @@
 		return // its answer, or the renewal that waits, tells
 	}
 	w.peeking = true
-	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: c.pace.Timeout(renewMargin)})
+	call := c.renewCall()
+	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: c.pace.Timeout(renewMargin), Call: call})
+}
+
+// renewCall notes a renewal that is answered at once.
+func (c *Cell) renewCall() Call {
+	call := Call{SentAt: c.now, Cost: pacing.RenewCost}
+	c.pace.Add(call.Cost)
+	return call
 }
 
 func (c *Cell) renew(w *worker) {
@@ -76,6 +87,9 @@
 	default:
 		r.Wait = idleWait
 	}
+	if r.Wait == 0 && w.failedCalls == 0 {
+		r.Call = c.renewCall()
+	}
 	r.Timeout = r.Wait + c.pace.Timeout(renewMargin)
 	c.emit(r)
 }
@@ -103,6 +117,9 @@
 }
 
 func (c *Cell) renewed(e Renewed) {
+	if e.Call.Cost > 0 {
+		c.callOver(e.Call, e.Verdict)
+	}
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -20,6 +20,8 @@
 	StartCost = 500
 	// StopCost is that of a stop.
 	StopCost = 400
+	// RenewCost is that of a renewal that is answered at once.
+	RenewCost = 400
 )
 
 const (
@@ -48,6 +50,11 @@
 	// maxLimit is above what bursts on sites with wide links need, and in a
 	// tenth of a second on 40 Mbit/s.
 	maxLimit = 512 << 10
+	// askShare is the part of the limit, in bytes, for which one eligibility call
+	// may be under way. A new owner has work for hundreds of them.
+	askShare = 1000
+	// minAsks lets the usual work of a small site through.
+	minAsks = 16
 	// stopShare times the limit may be under way with stops, which free room and
 	// must not wait behind starts.
 	stopShare = 2
@@ -85,21 +92,19 @@
 
 // Pacer is the state of the decision. It is not safe for concurrent use.
 type Pacer struct {
-	limit    float64 // bytes that may be under way
-	under    int     // bytes of calls under way and of placements to be sent
-	delay    time.Duration
-	backoff  time.Duration // factor of timeouts
-	began    model.Time    // of the period
-	quick    int           // answers in the period
-	slow     int
-	answered int  // bytes answered in the period
-	full     bool // the limit was reached in the period
-	held     model.Time
-	rate     float64 // bytes answered a second while work was held back
-	// starts and startRates are the bytes of starts that were added in the period,
-	// and a second while work was held back, by priority.
-	starts     map[int]int
-	startRates map[int]float64
+	limit   float64 // bytes that may be under way
+	under   int     // bytes of calls under way and of placements to be sent
+	delay   time.Duration
+	backoff time.Duration // factor of timeouts
+	began   model.Time    // of the period
+	quick   int           // answers in the period
+	slow    int
+	full    bool // the limit was reached in the period
+	held    model.Time
+	// starts and rates are the bytes of starts that were added in the period, and a
+	// second while calls reached the limit, by priority.
+	starts map[int]int
+	rates  map[int]float64
 }
 
 // New returns the state of an instance whose link has a rate in bytes a second,
@@ -112,7 +117,7 @@
 	if cores > 0 {
 		limit = min(limit, cores*coreRate*initialQueue.Seconds())
 	}
-	return &Pacer{limit: max(limit, minLimit), backoff: 1, starts: map[int]int{}, startRates: map[int]float64{}}
+	return &Pacer{limit: max(limit, minLimit), backoff: 1, starts: map[int]int{}, rates: map[int]float64{}}
 }
 
 // Room returns how many bytes of starts may be added.
@@ -121,6 +126,16 @@
 // StopAllowed reports whether a stop may be sent.
 func (p *Pacer) StopAllowed() bool { return p.under < int(stopShare*p.limit) }
 
+// Asks returns how many eligibility calls may be under way. Urgent work may use
+// what other work leaves, whose calls take long.
+func (p *Pacer) Asks(urgent bool) int {
+	n := max(minAsks, int(p.limit)/askShare)
+	if !urgent {
+		n -= n / 4
+	}
+	return n
+}
+
 // Add notes a call that is to be sent.
 func (p *Pacer) Add(cost int) { p.under += cost }
 
@@ -140,7 +155,6 @@
 	}
 	p.under -= cost
 	if answer {
-		p.answered += cost
 		p.delay += time.Duration(delayWeight * float64(took-p.delay))
 	}
 	if took > slowAfter {
@@ -168,16 +182,15 @@
 	}
 	if p.full {
 		seconds := now.Sub(p.began).Seconds()
-		p.rate += rateWeight * (float64(p.answered)/seconds - p.rate)
 		for priority := range p.starts {
-			p.startRates[priority] += 0 // is in the map from now on
+			p.rates[priority] += 0 // is in the map from now on
 		}
-		for priority, rate := range p.startRates {
-			p.startRates[priority] += rateWeight * (float64(p.starts[priority])/seconds - rate)
+		for priority, rate := range p.rates {
+			p.rates[priority] += rateWeight * (float64(p.starts[priority])/seconds - rate)
 		}
 	}
 	clear(p.starts)
-	p.began, p.quick, p.slow, p.answered, p.full = now, 0, 0, 0, false
+	p.began, p.quick, p.slow, p.full = now, 0, 0, false
 }
 
 // Held notes whether work was held back at a time.
@@ -208,16 +221,17 @@
 // sent after ahead bytes, and when its caller should come back. More urgent work
 // that comes meanwhile goes first as well.
 func (p *Pacer) Overloaded(now model.Time, priority, ahead int) (bool, time.Duration) {
-	if p.held == 0 || now.Sub(p.held) < sustained || p.rate <= 0 {
+	if p.held == 0 || now.Sub(p.held) < sustained || len(p.rates) == 0 {
 		return false, 0
 	}
-	left := p.rate
-	for other, rate := range p.startRates {
-		if other < priority {
-			left -= rate
+	all, left := 0.0, 0.0
+	for other, rate := range p.rates {
+		all += rate
+		if other >= priority {
+			left += rate
 		}
 	}
-	wait := time.Duration(float64(ahead) / max(left, leastShare*p.rate) * float64(time.Second))
+	wait := time.Duration(float64(ahead) / max(left, leastShare*all, 1) * float64(time.Second))
 	if wait <= longestWait {
 		return false, 0
 	}
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -26,7 +26,7 @@
 			open = open[1:]
 		}
 		for p.Room() > 0 {
-			p.Add(cost)
+			p.AddStart(0, cost)
 			sent += cost
 			free = max(free, now).Add(time.Duration(float64(cost) / rate * float64(time.Second)))
 			open = append(open, call{now, free.Add(2 * time.Millisecond)})
