Reads of the store are given up when nothing arrives, not after a fixed time

Behind 2 Mbit/s instances never loaded the cell: a page of up to a megabyte takes 4 s and was given up after 3 s, a read of 256 KB after 0.7 s, and each was asked for again from its beginning, so that the reads of all streams filled the link.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -57,6 +57,11 @@
 
 func (e *TooLargeError) Error() string { return "response body is above the limit" }
 
+// StalledError reports a call of whose answer nothing arrived for a time.
+type StalledError struct{ For time.Duration }
+
+func (e *StalledError) Error() string { return "nothing received for " + e.For.String() }
+
 // MissingError reports a response without a field that every such response
 // has. It comes from another program or another version.
 type MissingError struct{ Field string }
@@ -74,6 +79,10 @@
 	URL    string
 	Header http.Header
 	Body   []byte // nil: no body
+	// Stall ends the call when nothing of the answer has arrived for as long; zero
+	// leaves it to the context. An answer that a narrow link carries slowly is
+	// waited for.
+	Stall time.Duration
 }
 
 // Response is a response whose body arrived whole.
@@ -105,6 +114,14 @@
 	// The server acts only on a complete header. WroteHeaders comes before the
 	// last flush of the header, and a failed call's connection is closed before
 	// client.Do returns, so without WroteHeaders nothing complete was sent.
+	alive := func() {}
+	if r.Stall > 0 {
+		stalled, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		timer := time.AfterFunc(r.Stall, func() { cancel(&StalledError{For: r.Stall}) })
+		defer timer.Stop()
+		ctx, alive = stalled, func() { timer.Reset(r.Stall) }
+	}
 	var wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, bytes.NewReader(r.Body))
@@ -126,7 +143,7 @@
 		return Response{}, &CallError{Code: CodeNoAnswer, Cause: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponse+1))
+	body, err := io.ReadAll(&watchedReader{r: io.LimitReader(resp.Body, MaxResponse+1), alive: alive})
 	if err != nil {
 		return Response{}, &CallError{Code: CodeNoAnswer, Status: resp.StatusCode, Cause: err}
 	}
@@ -136,6 +153,21 @@
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// watchedReader calls alive when bytes arrive.
+type watchedReader struct {
+	r     io.Reader
+	alive func()
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(b []byte) (int, error) {
+	n, err := w.r.Read(b)
+	if n > 0 {
+		w.alive()
+	}
+	return n, err
+}
+
 // Decode parses the body of a response with status 200 into out. Any other
 // status or a body that doesn't parse is a CallError.
 func (r Response) Decode(out any) error {
