An overloaded owner refuses by use and backlog, and is not asked about each

After a takeover an owner without a measured rate accepted all that came on top of what it had inherited, held urgent work behind work that had become useless, and spent its 0.12 core on refusing up to 170 submissions a second: 13 starts a second with 3 MB of starts waiting.

The rate starts from the settings. A job is refused if what goes before it by rank, at the share of the rate that more urgent work leaves, takes longer than the job is of use, or 8 s; while all accepted work takes longer than 10 s, urgent work is held to half of the rate. An instance remembers the refusal of a queue for half of the time to come back and asks only for the state of the job.

--- a/internal/cell/offers.go
+++ b/internal/cell/offers.go
@@ -5,6 +5,8 @@
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/policy/admission"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
+	"github.com/gentianpick/gentianpick/internal/policy/rank"
 )
 
 // jobOffered takes a submission from an instance. The job is planned at once;
@@ -24,7 +26,7 @@
 		c.emit(OfferSettled{Ticket: e.Ticket, Stored: true})
 		return
 	}
-	if over, retry := c.pace.Overloaded(c.now, c.priorityOf(e.Job.Queue), c.sentBefore(&e.Job)); over {
+	if over, retry := c.pace.Overloaded(c.priorityOf(e.Job.Queue), c.backlog(&e.Job)); over {
 		c.log("submission refused", e.Job.ID, Fields{Reason: "overloaded", Age: retry, Count: c.held})
 		c.emit(OfferSettled{Ticket: e.Ticket, Overloaded: true, RetryAfter: retry})
 		return
@@ -36,23 +38,29 @@
 	c.offered = append(c.offered, Entry{Key: jobs.JobKey(j.id), Value: e.Value})
 }
 
-// sentBefore returns the bytes of the starts that go before those of a new job,
-// which are those of waiting work of its priority or a higher one, and its own.
-func (c *Cell) sentBefore(n *jobs.Job) int {
+// backlog returns the starts that wait for their turn, as a new job meets them.
+func (c *Cell) backlog(n *jobs.Job) pacing.Backlog {
+	var b pacing.Backlog
 	if c.held == 0 {
-		return 0
+		return b
 	}
-	priority := c.priorityOf(n.Queue)
-	bytes := 0
+	newcomer := &job{queue: n.Queue, steps: n.Steps, schedule: n.Schedule, arrived: c.now}
+	chain := c.chain(newcomer, 0, false)
+	in := c.rankInput(newcomer, c.now, chain, chain)
+	own := rank.Key(c.now, in)
+	b.Useful = rank.LateFactor*in.Objective() - chain
+	for i := range n.Steps {
+		b.Ahead += n.Steps[i].Tasks * startCost(len(n.Payload))
+	}
+	b.All = b.Ahead
 	for _, g := range c.ready {
-		if c.priorityOf(g.job.queue) <= priority {
-			bytes += g.pending * startCost(len(g.job.payload))
+		bytes := g.pending * startCost(len(g.job.payload))
+		b.All += bytes
+		if g.rank <= own {
+			b.Ahead += bytes
 		}
 	}
-	for i := range n.Steps {
-		bytes += n.Steps[i].Tasks * startCost(len(n.Payload))
-	}
-	return bytes
+	return b
 }
 
 func (c *Cell) cancelOffered(e CancelOffered) {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -56,7 +56,7 @@
 	}
 	clear(c.ready[len(kept):])
 	c.ready = kept
-	c.pace.Held(c.now, c.held > 0)
+	c.pace.Held(c.held > 0)
 }
 
 // startCost returns the bytes that a start with a payload takes.
@@ -83,21 +83,25 @@
 	}
 	c.resort, c.rankedAt = false, c.now
 	for _, g := range c.ready {
-		g.rank = rank.Key(c.now, c.rankInput(g))
+		g.rank = rank.Key(c.now, c.groupRank(g))
 	}
 	slices.SortStableFunc(c.ready, func(a, b *group) int { return cmp.Compare(a.rank, b.rank) })
 }
 
-func (c *Cell) rankInput(g *group) rank.Input {
-	q := c.queueOf(g.job)
+// groupRank returns what orders a group.
+func (c *Cell) groupRank(g *group) rank.Input {
 	arrived := g.job.arrived
 	if due := g.job.schedule.Due(g.occurrence); due != 0 {
 		arrived = g.readyAt
 	}
+	return c.rankInput(g.job, arrived, c.chain(g.job, g.occurrence, false), c.chain(g.job, g.occurrence, true))
+}
+
+func (c *Cell) rankInput(j *job, arrived model.Time, chain, remaining time.Duration) rank.Input {
+	q := c.queueOf(j)
 	return rank.Input{
 		Priority: q.Priority, Urgent: q.Priority == 0, Arrived: arrived,
-		Chain: c.chain(g.job, g.occurrence, false), Remaining: c.chain(g.job, g.occurrence, true),
-		Stretch: q.StretchX, Goal: q.LatencyGoal,
+		Chain: chain, Remaining: remaining, Stretch: q.StretchX, Goal: q.LatencyGoal,
 	}
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -59,14 +59,38 @@
 		n.deps.Telemetry.Request("submit", j.ID, j.Queue, 0, Done.String(), "known")
 		return Outcome{Kind: Done}
 	}
-	j.SubmittedMs = time.Now().UnixMilli()
-	o := n.submits.put(ctx, cell.Entry{Key: jobs.JobKey(j.ID), Value: jobs.Encode(j)})
+	o, known := n.refusedLately(ctx, j)
+	if !known {
+		j.SubmittedMs = time.Now().UnixMilli()
+		o = n.submits.put(ctx, cell.Entry{Key: jobs.JobKey(j.ID), Value: jobs.Encode(j)})
+		if o.Kind == Refused && o.Refusal.Reason == Overloaded {
+			n.submits.refusals.note(n.deps.Now(), j.Queue, o.Refusal.RetryAfter)
+		}
+	}
 	took := n.deps.Now().Sub(start)
 	n.deps.Telemetry.Observe("submit_seconds", j.Queue, took)
 	n.deps.Telemetry.Request("submit", j.ID, j.Queue, took, o.Kind.String(), string(o.Refusal.Reason))
 	return o
 }
 
+// refusedLately refuses a submission of a queue for which the owner is
+// overloaded. It returns false if the owner is to be asked. A job that an
+// earlier attempt of its caller may have stored is never refused.
+func (n *Node) refusedLately(ctx context.Context, j jobs.Job) (Outcome, bool) {
+	refused, after := n.submits.refusals.refused(n.deps.Now(), j.Queue)
+	if !refused {
+		return Outcome{}, false
+	}
+	reply, err := n.askOwner(ctx, j.ID)
+	switch {
+	case err != nil || !reply.Owner:
+		return Outcome{}, false
+	case reply.Known:
+		return Outcome{Kind: Done}, true
+	}
+	return Outcome{Kind: Refused, Refusal: Refusal{Reason: Overloaded, RetryAfter: after}}, true
+}
+
 // Cancel implements Gateway.
 func (n *Node) Cancel(ctx context.Context, queue string, id jobs.ID) Outcome {
 	start := n.deps.Now()
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -150,6 +150,43 @@
 	mu      sync.Mutex
 	queue   []*submission
 	batches int
+
+	refusals refusals
+}
+
+// refusals remembers which queues the owner refuses submissions of, so that it
+// is not asked about each: while it is overloaded, refusing takes the processor
+// that its work needs. It is safe for concurrent use.
+type refusals struct {
+	mu    sync.Mutex
+	until map[string]model.Time // by queue
+}
+
+// overloadMemory is the part of the time to come back for which an instance
+// refuses submissions of a queue without asking the owner again.
+const overloadMemory = 0.5
+
+// note remembers that the owner refused a submission.
+func (r *refusals) note(now model.Time, queue string, retryAfter time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.until == nil {
+		r.until = map[string]model.Time{}
+	}
+	r.until[queue] = now.Add(time.Duration(overloadMemory * float64(retryAfter)))
+}
+
+// refused reports whether a submission is refused without asking, and when its
+// caller should come back.
+func (r *refusals) refused(now model.Time, queue string) (bool, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := r.until[queue].Sub(now)
+	if left <= 0 {
+		delete(r.until, queue)
+		return false, 0
+	}
+	return true, max(left, time.Second)
 }
 
 func newSubmitter(n *Node) *submitter {
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -75,14 +75,17 @@
 	maxSpacing = 400 * time.Millisecond
 	// rateWeight is the weight of one period in the rate.
 	rateWeight = 0.2
-	// sustained is how long work must have been held back for the rate to be that
-	// of the instance and not of a moment.
-	sustained = 500 * time.Millisecond
 	// longestWait is how long work may wait for its turn to be sent. What would
 	// wait longer is better handed in again later.
 	longestWait = 8 * time.Second
+	// longestBacklog is how long all accepted work may take to be sent before urgent
+	// work is held to its share. Callers expect accepted work to have begun within
+	// 14 s of the last submission.
+	longestBacklog = 10 * time.Second
 	// leastShare of the rate is left for any work: urgent work comes in waves.
 	leastShare = 0.1
+	// urgentShare is what urgent work gets while other accepted work waits.
+	urgentShare = 0.5
 	// retryShare of the expected wait is when a caller should come back: by then
 	// a good part of what was ahead is gone, and others come back as well.
 	retryShare = 0.5
@@ -99,25 +102,29 @@
 	began   model.Time    // of the period
 	quick   int           // answers in the period
 	slow    int
-	full    bool // the limit was reached in the period
-	held    model.Time
-	// starts and rates are the bytes of starts that were added in the period, and a
-	// second while calls reached the limit, by priority.
-	starts map[int]int
-	rates  map[int]float64
+	full    bool        // the limit was reached in the period
+	held    bool        // work was held back
+	starts  map[int]int // bytes of starts that were added in the period, by priority
+	// rate is the bytes of starts a second while calls reach the limit, and shares
+	// that of each priority.
+	rate   float64
+	shares map[int]float64
 }
 
 // New returns the state of an instance whose link has a rate in bytes a second,
 // and that has a number of cores; zero if they are not known.
 func New(bandwidth int64, cores float64) *Pacer {
-	limit := float64(maxLimit)
+	rate := maxLimit / initialQueue.Seconds()
 	if bandwidth > 0 {
-		limit = min(limit, float64(bandwidth)*initialQueue.Seconds())
+		rate = min(rate, float64(bandwidth))
 	}
 	if cores > 0 {
-		limit = min(limit, cores*coreRate*initialQueue.Seconds())
+		rate = min(rate, cores*coreRate)
+	}
+	return &Pacer{
+		limit: max(rate*initialQueue.Seconds(), minLimit), backoff: 1,
+		starts: map[int]int{}, rate: rate, shares: map[int]float64{},
 	}
-	return &Pacer{limit: max(limit, minLimit), backoff: 1, starts: map[int]int{}, rates: map[int]float64{}}
 }
 
 // Room returns how many bytes of starts may be added.
@@ -181,28 +188,32 @@
 		}
 	}
 	if p.full {
-		seconds := now.Sub(p.began).Seconds()
-		for priority := range p.starts {
-			p.rates[priority] += 0 // is in the map from now on
-		}
-		for priority, rate := range p.rates {
-			p.rates[priority] += rateWeight * (float64(p.starts[priority])/seconds - rate)
-		}
+		p.measure(now.Sub(p.began))
 	}
 	clear(p.starts)
 	p.began, p.quick, p.slow, p.full = now, 0, 0, false
 }
 
-// Held notes whether work was held back at a time.
-func (p *Pacer) Held(now model.Time, held bool) {
-	switch {
-	case !held:
-		p.held = 0
-	case p.held == 0:
-		p.held = now
+// measure takes the starts of a period in which calls reached the limit into
+// account.
+func (p *Pacer) measure(d time.Duration) {
+	total := 0
+	for priority, bytes := range p.starts {
+		total += bytes
+		p.shares[priority] += 0 // is in the map from now on
+	}
+	p.rate = max(p.rate+rateWeight*(float64(total)/d.Seconds()-p.rate), 1)
+	if total == 0 {
+		return
+	}
+	for priority, share := range p.shares {
+		p.shares[priority] += rateWeight * (float64(p.starts[priority])/float64(total) - share)
 	}
 }
 
+// Held notes whether work is held back.
+func (p *Pacer) Held(held bool) { p.held = held }
+
 // Timeout returns how long an answer is waited for that usually takes up to a
 // time.
 func (p *Pacer) Timeout(usual time.Duration) time.Duration {
@@ -217,25 +228,42 @@
 	return min(spacingFactor*p.delay, maxSpacing)
 }
 
-// Overloaded reports whether work of a priority must be refused that would be
-// sent after ahead bytes, and when its caller should come back. More urgent work
-// that comes meanwhile goes first as well.
-func (p *Pacer) Overloaded(now model.Time, priority, ahead int) (bool, time.Duration) {
-	if p.held == 0 || now.Sub(p.held) < sustained || len(p.rates) == 0 {
+// Backlog is the work that waits for its turn to be sent, in bytes of starts.
+type Backlog struct {
+	Ahead int // goes before the work in question, itself included
+	All   int
+	// Useful is how long the work in question may wait and still be of use.
+	Useful time.Duration
+}
+
+// Overloaded reports whether work of a priority must be refused, and when its
+// caller should come back. More urgent work that comes meanwhile goes first as
+// well. While other work that was accepted waits for too long, any priority and
+// those above it get half of the rate, so that all that was accepted ends.
+func (p *Pacer) Overloaded(priority int, b Backlog) (bool, time.Duration) {
+	if !p.held {
 		return false, 0
 	}
-	all, left := 0.0, 0.0
-	for other, rate := range p.rates {
-		all += rate
-		if other >= priority {
-			left += rate
+	above, own := 0.0, 0.0 // shares of the rate
+	for other, share := range p.shares {
+		switch {
+		case other < priority:
+			above += share
+		case other == priority:
+			own += share
 		}
 	}
-	wait := time.Duration(float64(ahead) / max(left, leastShare*all, 1) * float64(time.Second))
-	if wait <= longestWait {
+	wait := p.wait(b.Ahead, 1-above)
+	all := p.wait(b.All, 1)
+	if wait <= min(longestWait, b.Useful) && (all <= longestBacklog || above+own <= urgentShare) {
 		return false, 0
 	}
-	return true, min(max(time.Duration(retryShare*float64(wait)), minRetry), maxRetry)
+	return true, min(max(time.Duration(retryShare*float64(max(wait, all))), minRetry), maxRetry)
+}
+
+// wait returns how long it takes to send bytes at a share of the rate.
+func (p *Pacer) wait(bytes int, share float64) time.Duration {
+	return time.Duration(float64(bytes) / (p.rate * max(share, leastShare)) * float64(time.Second))
 }
 
 // Limit returns the bytes that may be under way.
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -31,7 +31,7 @@
 			free = max(free, now).Add(time.Duration(float64(cost) / rate * float64(time.Second)))
 			open = append(open, call{now, free.Add(2 * time.Millisecond)})
 		}
-		p.Held(now, true)
+		p.Held(true)
 	}
 	for _, c := range open {
 		p.Answered(c.doneAt, cost, c.doneAt.Sub(c.sentAt), true)
@@ -134,36 +134,67 @@
 func TestOverloaded(t *testing.T) {
 	is := is.New(t)
 	p := New(250_000, 0)
-	over, _ := p.Overloaded(start, 0, 1<<30)
-	is.True(!over) // nothing is known of it yet
+	over, _ := p.Overloaded(0, Backlog{Ahead: 1 << 30, All: 1 << 30, Useful: time.Minute})
+	is.True(!over) // nothing waits
 	serve(p, 250_000, 1000, 3*time.Second)
-	now := start.Add(3 * time.Second)
-	over, _ = p.Overloaded(now, 0, 100_000) // 0.4 s
+	over, _ = p.Overloaded(0, Backlog{Ahead: 100_000, All: 100_000, Useful: time.Minute}) // 0.4 s
 	is.True(!over)
-	over, retry := p.Overloaded(now, 0, 5_000_000) // 20 s
+	over, retry := p.Overloaded(0, Backlog{Ahead: 5_000_000, All: 5_000_000, Useful: time.Minute}) // 20 s
 	is.True(over)
 	is.True(retry >= time.Second && retry <= 4*time.Second)
-	p.Held(now, false)
-	over, _ = p.Overloaded(now, 0, 5_000_000)
+	over, _ = p.Overloaded(0, Backlog{Ahead: 1_000_000, All: 1_000_000, Useful: 3 * time.Second}) // 4 s
+	is.True(over)
+	p.Held(false)
+	over, _ = p.Overloaded(0, Backlog{Ahead: 5_000_000, All: 5_000_000, Useful: time.Minute})
 	is.True(!over) // nothing waits any more
 }
 
-// Batch work was accepted for a time at which urgent work that came later had
-// taken its turn.
-func TestUrgentWorkTakesItsShareFirst(t *testing.T) {
+// A new owner that found much waiting work accepted more until it had measured
+// its rate.
+func TestNewOwnerKnowsItsLimits(t *testing.T) {
 	is := is.New(t)
+	p := New(250_000, 0.12)
+	p.Held(true)
+	over, _ := p.Overloaded(0, Backlog{Ahead: 3_000_000, All: 3_000_000, Useful: time.Minute})
+	is.True(over)
+}
+
+// mixed returns a pacer that is at its limit, with a share of urgent starts.
+func mixed(urgentOfTen int) *Pacer {
 	p := New(250_000, 0)
 	now := start
 	for i := range 3000 {
 		now = now.Add(4 * time.Millisecond) // 250 KB/s
-		p.AddStart(i%10/9, 1000)            // nine in ten are urgent
+		priority := 1
+		if i%10 < urgentOfTen {
+			priority = 0
+		}
+		p.AddStart(priority, 1000)
 		p.Add(p.Room())
 		p.Answered(now, 1000, 10*time.Millisecond, true)
 		p.Drop(p.under)
-		p.Held(now, true)
+		p.Held(true)
 	}
-	over, _ := p.Overloaded(now, 0, 1_000_000) // 4 s
+	return p
+}
+
+// Batch work was accepted for a time at which urgent work that came later had
+// taken its turn.
+func TestUrgentWorkTakesItsShareFirst(t *testing.T) {
+	is := is.New(t)
+	p := mixed(9)
+	over, _ := p.Overloaded(0, Backlog{Ahead: 10_000, All: 1_000_000, Useful: time.Minute}) // 4 s
 	is.True(!over)
-	over, _ = p.Overloaded(now, 1, 1_000_000) // 40 s at what urgent work leaves
+	over, _ = p.Overloaded(1, Backlog{Ahead: 1_000_000, All: 1_000_000, Useful: time.Minute}) // 40 s at what urgent work leaves
 	is.True(over)
 }
+
+// Accepted work that has become late waited for ever behind new urgent work.
+func TestUrgentWorkLeavesHalfToWorkThatWaits(t *testing.T) {
+	is := is.New(t)
+	late := Backlog{Ahead: 10_000, All: 4_000_000, Useful: time.Minute} // 16 s
+	over, _ := mixed(9).Overloaded(0, late)
+	is.True(over)
+	over, _ = mixed(4).Overloaded(0, late)
+	is.True(!over)
+}
