The owner makes calls to workers through the other instances

On small VMs nothing but the owner's link carried the calls to all workers: its 189 first starts alone fill 2 Mbit/s for a second, while the links of 15 other instances are idle.

An owner whose link or processor does not suffice for all workers hands the calls for each to one instance, over the link that the instance keeps to it. Calls and answers go in batches, each answer when it is there, and a payload goes over a link once for each job. Verdicts stay honest: what was written to a link is in doubt unless the instance says that it did not send it. Instances refuse calls that are older than their time, and calls of an epoch that is over. A worker that an instance does not reach is called through another one (TestInstanceCutOffFromWorkers fails without).

A ping without an answer in time no longer ends a link on which other messages arrive; on a narrow link its answer waits behind them.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,7 +1,7 @@
 // Package link connects the instances of a cell: every instance keeps one
 // connection to the owner. It uses the connection to ask the owner for the
 // state of jobs and to store submissions while the store can't be reached, and
-// the owner uses it to ask for eligibility calls.
+// the owner uses it to ask for eligibility calls and calls to workers.
 package link
 
 import (
@@ -11,6 +11,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,10 @@
 	methodState  = "state"
 	methodSubmit = "submit"
 	methodAsk    = "ask"
+	methodLeave  = "leave"
+	// Notifications: calls to workers to make, and their answers.
+	methodCalls   = "c"
+	methodAnswers = "a"
 )
 
 // Hello introduces the dialling instance.
@@ -51,11 +56,18 @@
 	Cores float64 `json:"cores,omitempty"` // processor that the instance has
 	// Bandwidth is that of the instance's link in bytes a second; zero if unknown.
 	Bandwidth int64 `json:"bandwidth,omitempty"`
+	Leaving   bool  `json:"leaving,omitempty"` // it is about to stop
 }
 
 // Welcome is the answer to a Hello.
 type Welcome struct {
-	Name string `json:"name"` // of the instance that answers
+	Name    string `json:"name"` // of the instance that answers
+	ClockMs int64  `json:"clock_ms"`
+}
+
+// Pong is the answer to a ping.
+type Pong struct {
+	ClockMs int64 `json:"c"`
 }
 
 // StateRequest asks for the state of a job.
@@ -104,8 +116,14 @@
 	State(ctx context.Context, r StateRequest) StateReply
 	Submit(ctx context.Context, r SubmitRequest) SubmitReply
 	Ask(ctx context.Context, r AskRequest) AskReply
+	// Start, Stop and Renew make calls to workers for the owner.
+	Start(ctx context.Context, s cell.Start) cell.Verdict
+	Stop(ctx context.Context, s cell.Stop) cell.Verdict
+	Renew(ctx context.Context, r cell.Renew) cell.Renewed
 	// Name returns the instance's incarnation.
 	Name() string
+	// Now reads a clock that includes times of suspension.
+	Now() model.Time
 	// Connected and Disconnected tell of instances that dialled this one.
 	Connected(name string, p *Peer)
 	Disconnected(name string, p *Peer)
@@ -132,7 +150,13 @@
 type Peer struct {
 	Cores     float64 // processor that the instance has
 	Bandwidth int64   // of its link, in bytes a second; zero if unknown
-	conn      *jsonrpc2.Conn
+	// Lost is the number of calls to workers that had no answer when the link was
+	// lost. It is set when the peer is disconnected.
+	Lost    int
+	conn    *jsonrpc2.Conn
+	raw     *deadlineConn
+	calls   *calls
+	leaving atomic.Bool
 }
 
 // Ask makes the peer do an eligibility call. The error is a CallError.
@@ -155,14 +179,47 @@
 
 // served handles the requests on one connection.
 type served struct {
-	h    Handler
+	h      Handler
+	raw    *deadlineConn
+	age    clockBound // of calls to workers
+	making *making    // nil until there are such calls
+
 	mu   sync.Mutex
 	name string
 	peer *Peer
 }
 
-// Handle implements jsonrpc2.Handler.
+// Handle implements jsonrpc2.Handler. It sees requests in their order, so it must
+// not wait.
 func (s *served) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	switch req.Method {
+	case methodCalls:
+		if b, ok := params[callBatch](req); ok {
+			if s.making == nil {
+				s.making = newMaking(ctx, s.h, conn, &s.age)
+			}
+			s.making.take(ctx, b)
+		}
+	case methodAnswers:
+		if b, ok := params[answerBatch](req); ok {
+			s.mu.Lock()
+			peer := s.peer
+			s.mu.Unlock()
+			if peer != nil {
+				peer.calls.settle(b)
+			}
+		}
+	default:
+		go s.reply(ctx, conn, req)
+	}
+}
+
+func params[P any](req *jsonrpc2.Request) (P, bool) {
+	var p P
+	return p, req.Params != nil && json.Unmarshal(*req.Params, &p) == nil
+}
+
+func (s *served) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.dispatch(ctx, conn, req)
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, req.ID, err)
@@ -174,16 +231,25 @@
 func (s *served) dispatch(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, *jsonrpc2.Error) {
 	switch req.Method {
 	case methodPing:
-		return true, nil
+		return Pong{ClockMs: millis(s.h.Now())}, nil
 	case methodHello:
 		return answer(req, func(h Hello) any {
+			peer := &Peer{Cores: h.Cores, Bandwidth: h.Bandwidth, conn: conn, raw: s.raw, calls: newCalls(conn, s.h.Now)}
+			peer.leaving.Store(h.Leaving)
 			s.mu.Lock()
-			s.name, s.peer = h.Name, &Peer{Cores: h.Cores, Bandwidth: h.Bandwidth, conn: conn}
-			peer := s.peer
+			s.name, s.peer = h.Name, peer
 			s.mu.Unlock()
 			s.h.Connected(h.Name, peer)
-			return Welcome{Name: s.h.Name()}
+			return Welcome{Name: s.h.Name(), ClockMs: millis(s.h.Now())}
 		})
+	case methodLeave:
+		s.mu.Lock()
+		peer := s.peer
+		s.mu.Unlock()
+		if peer != nil {
+			peer.leaving.Store(true)
+		}
+		return true, nil
 	case methodState:
 		return answer(req, func(r StateRequest) any { return s.h.State(ctx, r) })
 	case methodSubmit:
@@ -208,14 +274,29 @@
 // deadlineConn fails reads and writes that make no progress.
 type deadlineConn struct {
 	net.Conn
-	read time.Duration
+	read  time.Duration
+	begun time.Time
+	heard atomic.Int64 // time of the newest bytes read, since begun
+}
+
+func newDeadlineConn(conn net.Conn) *deadlineConn {
+	return &deadlineConn{Conn: conn, read: idleAccepted, begun: time.Now()}
+}
+
+// silence returns how long nothing has been read.
+func (c *deadlineConn) silence() time.Duration {
+	return time.Since(c.begun) - time.Duration(c.heard.Load())
 }
 
 func (c *deadlineConn) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.read)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(c.begun)))
+	}
+	return n, err
 }
 
 func (c *deadlineConn) Write(b []byte) (int, error) {
@@ -236,22 +317,23 @@
 			time.Sleep(redialPause)
 			continue
 		}
-		s := &served{h: h}
-		rpc := open(ctx, &deadlineConn{Conn: conn, read: idleAccepted}, s)
+		s := &served{h: h, raw: newDeadlineConn(conn)}
+		rpc := open(ctx, s)
 		go func() {
 			<-rpc.DisconnectNotify()
 			s.mu.Lock()
 			name, peer := s.name, s.peer
 			s.mu.Unlock()
 			if peer != nil {
+				peer.Lost = peer.calls.close()
 				h.Disconnected(name, peer)
 			}
 		}()
 	}
 }
 
-func open(ctx context.Context, conn net.Conn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{}), jsonrpc2.AsyncHandler(h), quiet)
+func open(ctx context.Context, s *served) *jsonrpc2.Conn {
+	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(s.raw, jsonrpc2.VarintObjectCodec{}), s, quiet)
 }
 
 // Client keeps a connection to the owner. It is safe for concurrent use.
@@ -261,11 +343,12 @@
 	traffic *httpjson.Traffic
 	changed func(up bool, cause error)
 
-	mu     sync.Mutex
-	target string
-	owner  string // incarnation expected at target
-	conn   *jsonrpc2.Conn
-	wake   chan struct{}
+	mu      sync.Mutex
+	target  string
+	owner   string // incarnation expected at target
+	conn    *jsonrpc2.Conn
+	leaving bool
+	wake    chan struct{}
 }
 
 // NewClient returns a client that introduces its instance with hello, counts
@@ -286,9 +369,19 @@
 	if c.conn != nil {
 		_ = c.conn.Close()
 	}
-	select {
-	case c.wake <- struct{}{}:
-	default:
+	wakeUp(c.wake)
+}
+
+// Leave tells the owner, now and after each new connection, that this instance is
+// about to stop and should not be asked to make calls to workers.
+func (c *Client) Leave(ctx context.Context) {
+	c.mu.Lock()
+	c.leaving = true
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		// Without an answer the link is lost, which says the same.
+		_, _ = callWithin[bool](ctx, conn, methodLeave, struct{}{})
 	}
 }
 
@@ -316,12 +409,19 @@
 	if err != nil {
 		return
 	}
-	conn := open(ctx, &deadlineConn{Conn: c.traffic.Conn(raw), read: idleAccepted}, &served{h: c.h})
+	s := &served{h: c.h, raw: newDeadlineConn(c.traffic.Conn(raw))}
+	conn := open(ctx, s)
 	defer conn.Close()
-	welcome, err := callWithin[Welcome](ctx, conn, methodHello, c.hello)
+	c.mu.Lock()
+	hello := c.hello
+	hello.Leaving = c.leaving
+	c.mu.Unlock()
+	asked := c.h.Now()
+	welcome, err := callWithin[Welcome](ctx, conn, methodHello, hello)
 	if err != nil {
 		return
 	}
+	s.age.note(welcome.ClockMs, asked)
 	c.mu.Lock()
 	if c.target != target || c.owner != owner {
 		c.mu.Unlock()
@@ -334,9 +434,13 @@
 		return
 	}
 	c.conn = conn
+	left := c.leaving && !hello.Leaving // in between
 	c.mu.Unlock()
 	c.changed(true, nil)
-	cause := c.watch(ctx, conn)
+	if left {
+		c.Leave(ctx)
+	}
+	cause := c.watch(ctx, conn, s)
 	c.mu.Lock()
 	c.conn = nil
 	c.mu.Unlock()
@@ -344,7 +448,7 @@
 }
 
 // watch returns when the connection is lost or silent.
-func (c *Client) watch(ctx context.Context, conn *jsonrpc2.Conn) error {
+func (c *Client) watch(ctx context.Context, conn *jsonrpc2.Conn, s *served) error {
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -355,7 +459,13 @@
 		}
 		// One late answer may be a pause of the process, but a new connection
 		// costs little, and the owner is suspected only if it is silent elsewhere.
-		if _, err := callWithin[bool](ctx, conn, methodPing, struct{}{}); err != nil {
+		// On a narrow link an answer may be late behind calls to workers.
+		asked := c.h.Now()
+		pong, err := callWithin[Pong](ctx, conn, methodPing, struct{}{})
+		switch {
+		case err == nil:
+			s.age.note(pong.ClockMs, asked)
+		case s.raw.silence() >= pingTimeout:
 			return err
 		}
 	}
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -29,18 +29,18 @@
 		case cell.Renew:
 			go func() {
 				sent := n.deps.Now()
-				r := n.deps.Workers.Renew(l.ctx, e)
+				r := n.dispatch.Renew(l.ctx, e)
 				r.SentAt, r.Peek = sent, e.Peek
 				n.send(l, r)
 			}()
 		case cell.Start:
 			go func() {
-				v := n.deps.Workers.Start(l.ctx, e)
+				v := n.dispatch.Start(l.ctx, e)
 				n.send(l, cell.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v, Call: e.Call})
 			}()
 		case cell.Stop:
 			go func() {
-				v := n.deps.Workers.Stop(l.ctx, e)
+				v := n.dispatch.Stop(l.ctx, e)
 				n.send(l, cell.StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v, Call: e.Call})
 			}()
 		case cell.Ask:
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -259,6 +259,7 @@
 	}
 	n.mu.Lock()
 	n.workers[name] = info
+	n.dispatch.workers.Store(int64(len(n.workers)))
 	n.mu.Unlock()
 	n.post(cell.WorkerListed{Info: info})
 }
@@ -267,6 +268,7 @@
 	n.mu.Lock()
 	_, known := n.workers[name]
 	delete(n.workers, name)
+	n.dispatch.workers.Store(int64(len(n.workers)))
 	n.mu.Unlock()
 	if known {
 		n.post(cell.WorkerUnlisted{Name: name})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,8 @@
 	submits  *submitter
 	offers   offers
 	watches  watches
+	dispatch *dispatcher
+	relayed  relayed
 
 	draining atomic.Bool
 	latency  smoothed     // of appends
@@ -116,6 +118,7 @@
 		workers: map[model.WorkerName]jobs.WorkerInfo{},
 		peers:   map[string]*link.Peer{},
 	}
+	n.dispatch = newDispatcher(n)
 	// Until Run begins, the instance knows nothing and is not loaded.
 	n.cell, n.life = n.newCell(), &life{ctx: context.Background(), cancel: func() {}}
 	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores, Bandwidth: set.Bandwidth}, peers{n}, &deps.Traffic.Instances, n.linkChanged)
@@ -323,6 +326,7 @@
 	if n.draining.CompareAndSwap(false, true) {
 		n.deps.Telemetry.Line("drain", LineFields{Reason: "signal"})
 		n.post(cell.DrainStarted{})
+		go n.client.Leave(context.Background())
 	}
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -242,6 +242,7 @@
 	n := p.n
 	n.mu.Lock()
 	n.peers[name] = peer
+	n.dispatch.set(name, peer)
 	n.mu.Unlock()
 	n.deps.Telemetry.Line("instance connected", LineFields{Subject: name})
 	n.post(cell.AdvisorChanged{Name: name, Up: true, Cores: peer.Cores, Bandwidth: peer.Bandwidth})
@@ -254,8 +255,12 @@
 	current := n.peers[name] == peer
 	if current {
 		delete(n.peers, name)
+		n.dispatch.drop(name)
 	}
 	n.mu.Unlock()
+	if peer.Lost > 0 {
+		n.deps.Telemetry.Line("calls to workers lost", LineFields{Subject: name, Count: int64(peer.Lost)})
+	}
 	if current {
 		n.deps.Telemetry.Line("instance disconnected", LineFields{Subject: name})
 		n.post(cell.AdvisorChanged{Name: name, Up: false})
