--- a/internal/link/calls_test.go
+++ b/internal/link/calls_test.go
@@ -40,6 +40,7 @@
 func (i *instance) Submit(context.Context, SubmitRequest) SubmitReply { return SubmitReply{} }
 func (i *instance) Ask(context.Context, AskRequest) AskReply          { return AskReply{} }
 func (i *instance) Name() string                                      { return i.name }
+func (i *instance) OwnerActs() bool                                   { return true }
 func (i *instance) Now() model.Time                                   { return model.Time(time.Now().UnixNano()) }
 func (i *instance) Stop(context.Context, cell.Stop) cell.Verdict      { return cell.Accepted }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -29,6 +29,10 @@
 	pingInterval = 150 * time.Millisecond
 	pingTimeout  = 250 * time.Millisecond
 	dialTimeout  = 300 * time.Millisecond
+	// maxSilence is how long an owner that is known to act may answer no ping. A
+	// busy one answers late; a new connection would only add to its work. It bounds
+	// the time for which a silent connection is kept.
+	maxSilence = time.Second
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = time.Second
 	// redialPause separates attempts to reach the owner.
@@ -124,6 +128,8 @@
 	Name() string
 	// Now reads a clock that includes times of suspension.
 	Now() model.Time
+	// OwnerActs reports whether the owner has shown itself elsewhere in a moment.
+	OwnerActs() bool
 	// Connected and Disconnected tell of instances that dialled this one.
 	Connected(name string, p *Peer)
 	Disconnected(name string, p *Peer)
@@ -449,6 +455,7 @@
 
 // watch returns when the connection is lost or silent.
 func (c *Client) watch(ctx context.Context, conn *jsonrpc2.Conn, s *served) error {
+	answered := time.Now()
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -457,15 +464,15 @@
 			return ctx.Err()
 		case <-time.After(pingInterval):
 		}
-		// One late answer may be a pause of the process, but a new connection
-		// costs little, and the owner is suspected only if it is silent elsewhere.
-		// On a narrow link an answer may be late behind calls to workers.
 		asked := c.h.Now()
 		pong, err := callWithin[Pong](ctx, conn, methodPing, struct{}{})
 		switch {
 		case err == nil:
+			answered = time.Now()
 			s.age.note(pong.ClockMs, asked)
-		case s.raw.silence() >= pingTimeout:
+		case s.raw.silence() < pingTimeout:
+			// On a narrow link an answer may be late behind calls to workers.
+		case !errors.Is(err, context.DeadlineExceeded), time.Since(answered) >= maxSilence, !c.h.OwnerActs():
 			return err
 		}
 	}
