Calls count as slow from 150 ms on; a line tells when they are slowed

Through instances of 0.12 core a start is answered after 70 to 130 ms without waiting behind others. With 80 ms as the sign of a queue the owner kept the bytes under way between 4 and 20 KB and started 150 tasks a second; that is below the timeout of a start still.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -54,6 +54,8 @@
 	appendWeight = 4
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 400 * time.Millisecond
+	// slowedInterval separates lines about calls that are slowed.
+	slowedInterval = time.Second
 	// maxStopDoublings bounds the growth of that pause. A renewal tells the end of
 	// the run as well.
 	maxStopDoublings = 3
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -138,7 +138,12 @@
 
 // callOver takes the end of a start or stop into account.
 func (c *Cell) callOver(call Call, v Verdict) {
+	before := c.pace.Limit()
 	c.pace.Answered(c.now, call.Cost, c.now.Sub(call.SentAt), v != Unknown && v != NotSent)
+	if now := c.pace.Limit(); now < before && c.now.Sub(c.slowedAt) >= slowedInterval {
+		c.slowedAt = c.now
+		c.log("calls slowed", "", Fields{Count: now, Age: c.pace.Delay(), Epoch: c.epoch})
+	}
 	c.changed = c.changed || c.held > 0
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -231,6 +231,7 @@
 	resort       bool
 	rankedAt     model.Time
 	pace         *pacing.Pacer
+	slowedAt     model.Time         // newest line about calls that are slowed
 	held         int                // bytes of starts that the last pass held back
 	asking       int                // eligibility calls in flight
 	reserved     map[*worker]*group // for gangs that wait
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -26,9 +26,10 @@
 
 const (
 	// slowAfter is the time to an answer from which on a call has waited behind
-	// others. Workers answer within milliseconds; the rest of it covers an instance
-	// of an eighth of a core, and it is well below the slack of urgent work.
-	slowAfter = 80 * time.Millisecond
+	// others. Workers answer within milliseconds; the rest of it covers the way
+	// through an instance of an eighth of a core, and it is below the timeout of a
+	// start and the slack of urgent work.
+	slowAfter = 150 * time.Millisecond
 	// initialQueue is the time in which the link sends the first limit, and the
 	// processor works it off.
 	initialQueue = 50 * time.Millisecond
