--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -101,6 +101,28 @@
 	is.Equal(s.wrong, nil)
 }
 
+// An owner with a link that is too narrow for its workers was late with all its
+// calls, while a VM with a wider link stood by.
+func TestOwnerWithNarrowLinkMakesWay(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 0, 4)
+	narrow := s.addVM(0.8, 10_000) // four workers need more
+	s.run(2 * time.Second)
+	is.True(narrow.cell.settled) // there was no other
+	small, wide := s.addNode(0.2), s.addVM(0.8, 1_000_000)
+	s.run(time.Second)
+	for _, n := range []*simNode{small, wide} {
+		narrow.send(narrow.life, AdvisorChanged{Name: n.cell.cfg.Self, Up: true, Cores: n.cores, Bandwidth: n.bandwidth})
+	}
+	s.run(5 * time.Second)
+	is.True(wide.owner && !narrow.owner && !small.owner)
+	wide.send(wide.life, AdvisorChanged{Name: narrow.cell.cfg.Self, Up: true, Cores: narrow.cores, Bandwidth: narrow.bandwidth})
+	s.run(10 * time.Second)
+	is.True(wide.owner) // not back
+	s.checkEnd()
+	is.Equal(s.wrong, nil)
+}
+
 // The end of a run that was stopped was logged with the time since the stop, so
 // that the log did not show how much work was lost.
 func TestAgeOfStoppedRun(t *testing.T) {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -18,7 +18,7 @@
 		return // the store can't be read, so the owner's silence means nothing
 	}
 	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
-	if silent < limit+succession.ClaimDelay(c.cfg.Cores, c.cfg.Spread) {
+	if silent < limit+succession.ClaimDelay(c.vm(), c.workersListed(), c.cfg.Spread) {
 		return
 	}
 	c.role = roleClaiming
@@ -223,14 +223,16 @@
 // wantsRelease reports whether the owner gives the cell up.
 func (c *Cell) wantsRelease() bool { return c.draining || c.makesWay }
 
-// considerWay gives the cell up if another instance has the processor that its
-// owner needs and this one has not.
+// considerWay gives the cell up if another instance has the processor and the
+// link that its owner needs and this one has not.
 func (c *Cell) considerWay() {
 	if c.makesWay || c.draining {
 		return
 	}
+	own, workers := c.vm(), c.workersListed()
 	for _, a := range c.advisorList {
-		if a.up && succession.MakesWay(c.cfg.Cores, a.cores, c.now.Sub(c.ownerSince), c.now.Sub(a.upSince)) {
+		other := succession.VM{Cores: a.cores, Bandwidth: a.bandwidth}
+		if a.up && succession.MakesWay(own, other, workers, c.now.Sub(c.ownerSince), c.now.Sub(a.upSince)) {
 			c.makesWay = true
 			c.log("owner makes way", "", Fields{Epoch: c.epoch, Reason: a.name, Age: c.now.Sub(a.upSince)})
 			return
@@ -238,6 +240,21 @@
 	}
 }
 
+// vm returns what this instance has of what an owner needs.
+func (c *Cell) vm() succession.VM {
+	return succession.VM{Cores: c.cfg.Cores, Bandwidth: c.cfg.Bandwidth}
+}
+
+// workersListed returns the number of workers that the directory has.
+func (c *Cell) workersListed() (n int) {
+	for _, w := range c.list {
+		if w.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // snapshot returns the entry that describes a job.
 func (j *job) snapshot() *jobs.Progress {
 	p := &jobs.Progress{State: j.state, FinishedMs: j.finished}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -122,17 +122,19 @@
 
 // simNode is one instance.
 type simNode struct {
-	s      *sim
-	name   string
-	life   int
-	cell   *Cell
-	cores  float64
-	alive  bool
-	paused bool
-	held   []Event       // events that arrive during a pause
-	cut    bool          // from the store
-	skew   time.Duration // of its time of day
-	away   map[*simWorker]bool
+	s     *sim
+	name  string
+	life  int
+	cell  *Cell
+	cores float64
+	// bandwidth is that of its link in bytes a second; zero if it is not known.
+	bandwidth int64
+	alive     bool
+	paused    bool
+	held      []Event       // events that arrive during a pause
+	cut       bool          // from the store
+	skew      time.Duration // of its time of day
+	away      map[*simWorker]bool
 	// draining instances tell each new cell so, as the driver does.
 	draining bool
 
@@ -146,8 +148,10 @@
 	return Tick{UnixMs: (time.Duration(n.s.now) + n.skew).Milliseconds(), StoreAnswered: n.answered}
 }
 
-func (s *sim) addNode(cores float64) *simNode {
-	n := &simNode{s: s, cores: cores, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
+func (s *sim) addNode(cores float64) *simNode { return s.addVM(cores, 0) }
+
+func (s *sim) addVM(cores float64, bandwidth int64) *simNode {
+	n := &simNode{s: s, cores: cores, bandwidth: bandwidth, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
 	s.nodes = append(s.nodes, n)
 	n.start()
 	return n
@@ -257,7 +261,7 @@
 	n.owner = false
 	self := fmt.Sprintf("%s-%d", n.name, n.life)
 	n.cell = New(Config{
-		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Spread: n.s.rnd.Float64(), Retention: time.Hour,
+		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.bandwidth, Spread: n.s.rnd.Float64(), Retention: time.Hour,
 	})
 	n.subsAt, n.progressAt = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, AdvisorChanged{Name: self, Up: true}}
