--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -106,17 +106,17 @@
 func TestOwnerWithNarrowLinkMakesWay(t *testing.T) {
 	is := is.New(t)
 	s := newSim(1, 0, 4)
-	narrow := s.addVM(0.8, 10_000) // four workers need more
+	narrow := s.addLinkedNode(0.8, 10_000) // four workers need more
 	s.run(2 * time.Second)
 	is.True(narrow.cell.settled) // there was no other
-	small, wide := s.addNode(0.2), s.addVM(0.8, 1_000_000)
+	small, wide := s.addNode(0.2), s.addLinkedNode(0.8, 1_000_000)
 	s.run(time.Second)
 	for _, n := range []*simNode{small, wide} {
-		narrow.send(narrow.life, AdvisorChanged{Name: n.cell.cfg.Self, Up: true, Cores: n.cores, Bandwidth: n.bandwidth})
+		narrow.send(narrow.life, AdvisorChanged{Name: n.cell.cfg.Self, Up: true, Cores: n.cores, Bandwidth: n.link.rate()})
 	}
 	s.run(5 * time.Second)
 	is.True(wide.owner && !narrow.owner && !small.owner)
-	wide.send(wide.life, AdvisorChanged{Name: narrow.cell.cfg.Self, Up: true, Cores: narrow.cores, Bandwidth: narrow.bandwidth})
+	wide.send(wide.life, AdvisorChanged{Name: narrow.cell.cfg.Self, Up: true, Cores: narrow.cores, Bandwidth: narrow.link.rate()})
 	s.run(10 * time.Second)
 	is.True(wide.owner) // not back
 	s.checkEnd()
@@ -327,16 +327,22 @@
 func TestRunsOfCutOffWorkerAreKept(t *testing.T) {
 	is := is.New(t)
 	s, n := owned(t, 1, 1)
+	s.onLog = func(l Log) {
+		if l.What == "stop sent" || l.What == "run lost" {
+			t.Errorf("%s: %v run %d, %s", l.What, l.Task, l.Run, l.Reason)
+		}
+	}
 	s.put("00000000000000fb", "batch", jobs.Step{Tasks: 4, Need: cores(1), EstimateMs: 9000})
 	s.run(time.Second)
 	n.away[s.workers[0]] = true
-	s.run(4500 * time.Millisecond)
+	s.run(4 * time.Second)
 	delete(n.away, s.workers[0])
 	s.run(time.Second)
+	is.Equal(len(n.cell.list[0].runs), len(s.workers[0].runs))
 	for _, p := range n.cell.list[0].runs {
 		is.Equal(p.phase, phaseRunning)
+		is.Equal(p.run, 1) // neither stopped nor lapsed
 	}
-	is.Equal(len(s.workers[0].runs), 4)
 }
 
 // A run that a restarted worker had begun in its new life was taken for one of
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -120,6 +120,7 @@
 	Running []RunStatus
 	Ended   []RunEnd
 	Peek    bool // as in the Renew
+	Call    Call // as in the Renew
 }
 
 // StartAnswered is the answer to a Start.
@@ -128,6 +129,7 @@
 	Task    jobs.TaskRef
 	Run     int
 	Verdict Verdict
+	Call    Call // as in the Start
 }
 
 // StopAnswered is the answer to a Stop.
@@ -136,6 +138,7 @@
 	Task    jobs.TaskRef
 	Run     int
 	Verdict Verdict
+	Call    Call // as in the Stop
 }
 
 // Permit lets the tasks of one step start on one worker.
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -122,21 +122,20 @@
 
 // simNode is one instance.
 type simNode struct {
-	s     *sim
-	name  string
-	life  int
-	cell  *Cell
-	cores float64
-	// bandwidth is that of its link in bytes a second; zero if it is not known.
-	bandwidth int64
-	alive     bool
-	paused    bool
-	held      []Event       // events that arrive during a pause
-	cut       bool          // from the store
-	skew      time.Duration // of its time of day
-	away      map[*simWorker]bool
+	s      *sim
+	name   string
+	life   int
+	cell   *Cell
+	cores  float64
+	alive  bool
+	paused bool
+	held   []Event       // events that arrive during a pause
+	cut    bool          // from the store
+	skew   time.Duration // of its time of day
+	away   map[*simWorker]bool
 	// draining instances tell each new cell so, as the driver does.
 	draining bool
+	link     *simLink // nil if nothing limits its calls
 
 	subsAt, progressAt int
 	claimSeq           int64
@@ -148,10 +147,15 @@
 	return Tick{UnixMs: (time.Duration(n.s.now) + n.skew).Milliseconds(), StoreAnswered: n.answered}
 }
 
-func (s *sim) addNode(cores float64) *simNode { return s.addVM(cores, 0) }
+func (s *sim) addNode(cores float64) *simNode { return s.addLinkedNode(cores, 0) }
 
-func (s *sim) addVM(cores float64, bandwidth int64) *simNode {
-	n := &simNode{s: s, cores: cores, bandwidth: bandwidth, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
+// addLinkedNode adds an instance whose link has a rate in bytes a second; zero
+// is no limit.
+func (s *sim) addLinkedNode(cores float64, bandwidth int64) *simNode {
+	n := &simNode{s: s, cores: cores, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
+	if bandwidth > 0 {
+		n.link = newSimLink(n, bandwidth, 0)
+	}
 	s.nodes = append(s.nodes, n)
 	n.start()
 	return n
@@ -261,7 +265,7 @@
 	n.owner = false
 	self := fmt.Sprintf("%s-%d", n.name, n.life)
 	n.cell = New(Config{
-		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.bandwidth, Spread: n.s.rnd.Float64(), Retention: time.Hour,
+		Name: "cell", Self: self, Address: n.name, Lease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.link.rate(), Spread: n.s.rnd.Float64(), Retention: time.Hour,
 	})
 	n.subsAt, n.progressAt = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, AdvisorChanged{Name: self, Up: true}}
@@ -300,6 +304,9 @@
 
 // perform carries one effect out. It returns true if the cell was replaced.
 func (n *simNode) perform(life int, e Effect) bool {
+	if n.link.carry(life, e) {
+		return false
+	}
 	s := n.s
 	reply := func(e Event) {
 		s.after(s.latency(), func() { n.send(life, e) })
@@ -323,15 +330,15 @@
 			reply(Claimed{Epoch: e.Claim.Epoch, SentAt: s.now, Won: ok})
 		})
 	case Renew:
-		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, Peek: e.Peek}, s.now)
+		n.order(life, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, Peek: e.Peek, Call: e.Call}, s.now)
 	case Start:
 		n.order(life, e.Worker, func(w *simWorker) Event {
-			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e)}
-		}, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown}, s.now)
+			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e), Call: e.Call}
+		}, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}, s.now)
 	case Stop:
 		n.order(life, e.Worker, func(w *simWorker) Event {
-			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.stop(e)}
-		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown}, s.now)
+			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.stop(e), Call: e.Call}
+		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}, s.now)
 	case Ask:
 		s.after(e.Cost, func() {
 			a := EligibilityAnswered{Advisor: e.Advisor, Job: e.Job, Step: e.Step, Occur: e.Occur, Asked: e.Workers, ValidFor: 2500 * time.Millisecond}
@@ -387,7 +394,7 @@
 			return
 		}
 		if s.storeBusy {
-			s.after(s.latency(), func() { n.send(life, Appended{Commit: a.Commit, SentAt: sent, Refused: true}) })
+			n.appended(life, Appended{Commit: a.Commit, SentAt: sent, Refused: true})
 			return
 		}
 		ok, fenced := s.store.appendProgress(a.Entries, a.Epoch, n.claimSeq+int64(a.Commit), -1)
@@ -395,7 +402,14 @@
 			s.after(150*time.Millisecond, func() { n.append(life, a, sent, true) })
 			return
 		}
-		s.after(s.latency(), func() { n.send(life, Appended{Commit: a.Commit, SentAt: sent, Fenced: fenced || !ok}) })
+		n.appended(life, Appended{Commit: a.Commit, SentAt: sent, Fenced: fenced || !ok})
+	})
+}
+
+// appended brings the store's answer to the instance.
+func (n *simNode) appended(life int, a Appended) {
+	n.s.after(n.s.latency(), func() {
+		n.link.receive(a, func() { n.send(life, a) })
 	})
 }
 
@@ -426,10 +440,11 @@
 		}
 		answer := call(w)
 		if r, ok := answer.(Renewed); ok {
-			r.SentAt, r.Peek = none.(Renewed).SentAt, none.(Renewed).Peek
+			r.SentAt, r.Peek, r.Call = none.(Renewed).SentAt, none.(Renewed).Peek, none.(Renewed).Call
 			answer = r
-			// A renewal is answered when a run ends, or after its wait.
-			if len(r.Ended) == 0 && r.Verdict == Accepted && !r.Peek {
+			// A renewal is answered when a run ends, or after its wait. One that has a
+			// cost does not wait.
+			if len(r.Ended) == 0 && r.Verdict == Accepted && r.Call.Cost == 0 {
 				w.waiting = append(w.waiting, func() {
 					if !w.up {
 						s.after(timeout, func() { n.send(life, none) })
@@ -452,7 +467,7 @@
 func (n *simNode) deliver(life int, w *simWorker, e Event) {
 	if n.away[w] {
 		if r, ok := e.(Renewed); ok {
-			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown, Peek: r.Peek}
+			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown, Peek: r.Peek, Call: r.Call}
 		}
 		n.s.after(300*time.Millisecond, func() { n.send(life, e) })
 		return
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -6,6 +6,7 @@
 	"github.com/gentianpick/gentianpick/internal/health"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 	"github.com/gentianpick/gentianpick/internal/policy/stall"
 )
 
@@ -38,6 +39,8 @@
 	switch {
 	case w.renewing || w.info.Address == "":
 		return false
+	case !w.fenced && !c.pace.StopAllowed():
+		return false // a new owner asks all workers
 	case !w.listed && len(w.runs) == 0 && w.seenEnd == w.durableEnd:
 		return false
 	case w.failedCalls > 0:
@@ -47,12 +50,24 @@
 		// them again at once.
 		return c.now.Sub(w.renewSent) >= renewPause
 	}
-	return true
+	return c.now.Sub(w.renewSent) >= c.pace.Spacing()
 }
 
 // peek asks a worker for its runs without waiting for one to end.
 func (c *Cell) peek(w *worker) {
-	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: renewMargin})
+	if w.peeking {
+		return // its answer, or the renewal that waits, tells
+	}
+	w.peeking = true
+	call := c.renewCall()
+	c.emit(Renew{Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Peek: true, Timeout: c.pace.Timeout(renewMargin), Call: call})
+}
+
+// renewCall notes a renewal that is answered at once.
+func (c *Cell) renewCall() Call {
+	call := Call{SentAt: c.now, Cost: pacing.RenewCost}
+	c.pace.Add(call.Cost)
+	return call
 }
 
 func (c *Cell) renew(w *worker) {
@@ -72,7 +87,10 @@
 	default:
 		r.Wait = idleWait
 	}
-	r.Timeout = r.Wait + renewMargin
+	if r.Wait == 0 && w.failedCalls == 0 {
+		r.Call = c.renewCall()
+	}
+	r.Timeout = r.Wait + c.pace.Timeout(renewMargin)
 	c.emit(r)
 }
 
@@ -99,11 +117,16 @@
 }
 
 func (c *Cell) renewed(e Renewed) {
+	if e.Call.Cost > 0 {
+		c.callOver(e.Call, e.Verdict)
+	}
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
 	}
-	if !e.Peek {
+	if e.Peek {
+		w.peeking = false
+	} else {
 		w.renewing = false
 	}
 	switch e.Verdict {
