Entries: submissions and progress are stored in a compact form

Every change of a job is stored as a whole entry of it, which every other instance reads. As JSON, a task with a worker took 34 bytes, most of them field names, and decoding took most of a reader's processor time.

The compact form begins with a version, which no JSON text begins with. Numbers are varints, fields without a value are left out, done tasks are a bit set, and a worker or checkpoint is named once in an entry, hexadecimal digits in half their length. Readers take both forms; claims stay JSON. Values that the form has no place for are still stored as JSON.

--- /dev/null
+++ b/internal/jobs/compact_test.go
@@ -0,0 +1,313 @@
+package jobs_test
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"reflect"
+	"runtime"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+func bitmap(set ...int) jobs.Bitmap {
+	var b jobs.Bitmap
+	for _, i := range set {
+		b.Set(i)
+	}
+	return b
+}
+
+var (
+	sampleProgress = jobs.Progress{State: jobs.Running, Groups: []jobs.GroupProgress{
+		{Done: bitmap(0, 2, 70), Tasks: []jobs.TaskProgress{
+			{Index: 1, Run: 1, Worker: "i-1a1974e2b5"},
+			{Index: 3, Run: 2, Failures: 1, FailedRun: 1, Worker: "i-0a42e7fdc7", Checkpoint: "00000bb87a21d94b"},
+			{Index: 7, Run: 1, Checkpoint: "00000bb87a21d94b"},
+			{Index: 71, Run: 1, Worker: "i-1a1974e2b5"},
+		}},
+		{Occurrence: 2, Step: 1, Run: 3, Failures: 1, FailedRun: 2, Tasks: []jobs.TaskProgress{{Run: 3, Worker: "w"}}},
+	}}
+	sampleFinal = jobs.Progress{State: jobs.Completed, FinishedMs: 1790000000000}
+	sampleJob   = jobs.Job{
+		ID: "5c0e7a21d94b36f8", Queue: "r-73hh2b9", Payload: "(text)", SubmittedMs: 1790000000000,
+		Schedule: jobs.Schedule{Occurrences: 2, FirstMs: 1790000001000, IntervalMs: 500},
+		Steps: []jobs.Step{
+			{Tasks: 4, Need: model.Resources{MilliCPU: 500, MemoryMB: 256}, EstimateMs: 900, DataRack: "r1-3"},
+			{Tasks: 20, Need: model.Resources{MilliCPU: 2000, MemoryMB: 1024}, EstimateMs: 7000, After: []int{0}, Checkpoints: true, Gang: true},
+		},
+	}
+)
+
+// The stored forms that a reader must understand for good: entries outlive the
+// process that wrote them.
+var golden = []struct {
+	name, json, compact string
+	read                func(value []byte) (any, error)
+	want                any
+}{
+	{"progress", `{"s":"running","g":[{"d":"5.40","t":[{"i":1,"r":1,"w":"i-1a1974e2b5"},` +
+		`{"i":3,"r":2,"x":1,"y":1,"w":"i-0a42e7fdc7","c":"00000bb87a21d94b"},{"i":7,"r":1,"c":"00000bb87a21d94b"},{"i":71,"r":1,"w":"i-1a1974e2b5"}]},` +
+		`{"k":2,"n":1,"t":[{"i":0,"r":3,"w":"w"}],"r":3,"x":1,"y":2}]}`,
+		"01020002" + "0409050000000000000040" + "04" + "0a000018692d31613139373465326235" + "0f04020201020b0a42e7fdc702001100000bb87a21d94b" +
+			"1c02" + "fa0300" + "0b0402060204" + "010203000277", readProgress, sampleProgress},
+	{"final progress", `{"s":"completed","f":1790000000000}`, "010380b083c5986800", readProgress, sampleFinal},
+	{"submission", `{"id":"5c0e7a21d94b36f8","queue":"r-73hh2b9","payload":"(text)","steps":[` +
+		`{"tasks":4,"need":{"milli_cpu":500,"memory_mb":256},"estimate_ms":900,"data_rack":"r1-3"},` +
+		`{"tasks":20,"need":{"milli_cpu":2000,"memory_mb":1024},"estimate_ms":7000,"after":[0],"gang":true,"checkpoints":true}],` +
+		`"schedule":{"occurrences":2,"first_ms":1790000001000,"interval_ms":500},"submitted_ms":1790000000000}`,
+		"01115c0e7a21d94b36f812722d373368683262390c2874657874290304d0bf83c59868e80780b083c59868" +
+			"02" + "810108e8078004880e00000872312d33" + "0f28a01f8010b06d0100", readJob, sampleJob},
+}
+
+func readProgress(value []byte) (any, error) { return jobs.Decode[jobs.Progress]("p1", value) }
+func readJob(value []byte) (any, error)      { return jobs.Decode[jobs.Job]("j1", value) }
+
+func TestStoredForms(t *testing.T) {
+	for _, g := range golden {
+		t.Run(g.name, func(t *testing.T) {
+			is := is.New(t)
+			old, err := json.Marshal(g.want)
+			is.NoErr(err)
+			is.Equal(string(old), g.json)
+			v, err := g.read([]byte(g.json))
+			is.NoErr(err)
+			is.Equal(v, g.want)
+
+			is.Equal(hex.EncodeToString(jobs.Encode(g.want)), g.compact)
+			value, err := hex.DecodeString(g.compact)
+			is.NoErr(err)
+			v, err = g.read(value)
+			is.NoErr(err)
+			is.Equal(v, g.want)
+		})
+	}
+}
+
+// Operators read and write the claim by hand.
+func TestClaimIsJSON(t *testing.T) {
+	is := is.New(t)
+	c := jobs.Claim{Epoch: 7, Owner: "o", Address: "127.0.0.1:1", DataCentre: "d"}
+	is.Equal(string(jobs.Encode(c)), `{"epoch":7,"owner":"o","address":"127.0.0.1:1","dc":"d"}`)
+	_, err := jobs.Decode[jobs.Claim](jobs.KeyOwner, jobs.Encode(sampleFinal))
+	var e *jobs.EntryError
+	is.True(errors.As(err, &e))
+}
+
+// Values that the compact form has no place for are still stored.
+func TestProgressWithoutCompactForm(t *testing.T) {
+	is := is.New(t)
+	for _, p := range []jobs.Progress{
+		{State: "unheard of"},
+		{State: jobs.Running, Groups: []jobs.GroupProgress{{Tasks: []jobs.TaskProgress{{Index: 2}, {Index: 1}}}}},
+		{State: jobs.Running, Groups: []jobs.GroupProgress{{Tasks: []jobs.TaskProgress{{Index: -1}}}}},
+	} {
+		got, err := jobs.Decode[jobs.Progress]("p1", jobs.Encode(p))
+		is.NoErr(err)
+		is.Equal(got, p)
+	}
+}
+
+func numbers[T ~int | ~int64](t *rapid.T, label string) T {
+	return T(rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(0, 300), rapid.Int64()).Draw(t, label))
+}
+
+func words(t *rapid.T, label string) string {
+	return rapid.OneOf(rapid.Just(""), rapid.StringMatching(`i-[0-9a-f]{10}`), rapid.StringMatching(`[0-9a-f]{1,16}`), rapid.String()).Draw(t, label)
+}
+
+func drawProgress(t *rapid.T) jobs.Progress {
+	p := jobs.Progress{
+		State:      rapid.SampledFrom([]jobs.State{"", jobs.Queued, jobs.Running, jobs.Completed, jobs.Failed, jobs.Cancelled}).Draw(t, "state"),
+		FinishedMs: numbers[int64](t, "finished"),
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "groups") {
+		g := jobs.GroupProgress{
+			Occurrence: numbers[int](t, "occurrence"), Step: numbers[int](t, "step"),
+			Run: numbers[int](t, "run"), Failures: numbers[int](t, "failures"), FailedRun: numbers[int](t, "failed run"),
+			Done: bitmap(rapid.SliceOfN(rapid.IntRange(0, 300), 0, 40).Draw(t, "done")...),
+		}
+		for i := range rapid.IntRange(0, 80).Draw(t, "tasks") {
+			if rapid.Bool().Draw(t, "there") {
+				g.Tasks = append(g.Tasks, jobs.TaskProgress{
+					Index: i, Run: numbers[int](t, "run"), Failures: numbers[int](t, "failures"), FailedRun: numbers[int](t, "failed run"),
+					Worker: model.WorkerName(words(t, "worker")), Checkpoint: words(t, "checkpoint"),
+				})
+			}
+		}
+		p.Groups = append(p.Groups, g)
+	}
+	return p
+}
+
+func TestProgressRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		p := drawProgress(t)
+		value := jobs.Encode(&p)
+		is.True(value[0] != '{') // in the compact form
+		got, err := jobs.Decode[jobs.Progress]("p1", value)
+		is.NoErr(err)
+		is.Equal(got, p)
+	})
+}
+
+// fill sets every field of a struct at random, so that a new field without a
+// place in the compact form is found.
+func fill(t *rapid.T, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(t, v.Field(i))
+		}
+	case reflect.Slice:
+		if n := rapid.IntRange(0, 3).Draw(t, "length"); n > 0 {
+			v.Set(reflect.MakeSlice(v.Type(), n, n))
+		}
+		for i := range v.Len() {
+			fill(t, v.Index(i))
+		}
+	case reflect.Bool:
+		v.SetBool(rapid.Bool().Draw(t, "bool"))
+	case reflect.String:
+		v.SetString(words(t, "string"))
+	case reflect.Int, reflect.Int64:
+		v.SetInt(numbers[int64](t, "number"))
+	default:
+		t.Fatalf("no value for %v", v.Type())
+	}
+}
+
+func TestJobRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		var j jobs.Job
+		fill(t, reflect.ValueOf(&j).Elem())
+		got, err := jobs.Decode[jobs.Job]("j1", jobs.Encode(j))
+		is.NoErr(err)
+		is.Equal(got, j)
+	})
+}
+
+// The fields of progress have a generator of their own, since its tasks are in
+// order. A new field needs a place in it and in the compact form.
+func TestProgressFieldsAreKnown(t *testing.T) {
+	is := is.New(t)
+	is.Equal(reflect.TypeFor[jobs.Progress]().NumField(), 3)
+	is.Equal(reflect.TypeFor[jobs.GroupProgress]().NumField(), 7)
+	is.Equal(reflect.TypeFor[jobs.TaskProgress]().NumField(), 6)
+}
+
+func isMalformed(err error) bool {
+	var entry *jobs.EntryError
+	var cause *jobs.MalformedError
+	return errors.As(err, &entry) && errors.As(err, &cause)
+}
+
+// No value that was cut short, or has something after it, is taken for a whole
+// one.
+func TestCutShort(t *testing.T) {
+	is := is.New(t)
+	progress, job := jobs.Encode(sampleProgress), jobs.Encode(sampleJob)
+	for n := 1; n < len(progress); n++ {
+		_, err := readProgress(progress[:n])
+		is.True(isMalformed(err))
+	}
+	for n := 1; n < len(job); n++ {
+		_, err := readJob(job[:n])
+		is.True(isMalformed(err))
+	}
+	_, err := readProgress(append(progress, 0))
+	is.True(isMalformed(err))
+	_, err = readJob(append(job, 0))
+	is.True(isMalformed(err))
+	_, err = readProgress(nil)
+	is.True(err != nil)
+}
+
+// malformed are values that would mislead a careless reader.
+var malformed = map[string]string{
+	"later version":             "020100",
+	"unknown state":             "010600",
+	"unknown bit of a group":    "0102000110",
+	"more groups than bytes":    "010200ffffffffffffffff7f",
+	"more tasks than bytes":     "0102000100ffffffffffffffff7f",
+	"number without an end":     "0102ffffffffffffffffffffffff",
+	"task beyond the largest":   "01020001000188f609",
+	"task numbers that overrun": "0102000100" + "02" + "f8ffffffffffffffff01" + "08",
+	"name not yet told":         "01020001000102" + "01" + "0002" + "77",
+	"name that shares too much": "01020001000102" + "00" + "01" + "02" + "77",
+	"longer name than bytes":    "01020001000102" + "00" + "00" + "feffffffffffffffff01",
+	"more done than bytes":      "0102000104ffffffffffffffff7f",
+}
+
+func TestMalformed(t *testing.T) {
+	for name, text := range malformed {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			value, err := hex.DecodeString(text)
+			is.NoErr(err)
+			_, err = readProgress(value)
+			is.True(isMalformed(err))
+		})
+	}
+}
+
+// maxGrowth bounds the memory that a value claims by its bytes: a task of
+// progress has 88 bytes and may take one, and a name takes two and claims what it
+// shares beside its header.
+const maxGrowth = 128
+
+// FuzzDecodeEntry guards against a panic or a large allocation on a stored value
+// of any content, and against one that can't be stored again.
+func FuzzDecodeEntry(f *testing.F) {
+	for _, g := range golden {
+		f.Add([]byte(g.json))
+		f.Add(jobs.Encode(g.want))
+	}
+	for _, text := range malformed {
+		value, err := hex.DecodeString(text)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(value)
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		compact := len(value) > 0 && value[0] < '\t'
+		before := allocated()
+		p, errP := jobs.Decode[jobs.Progress]("p1", value)
+		j, errJ := jobs.Decode[jobs.Job]("j1", value)
+		if grown := allocated() - before; compact && grown > uint64(2*maxGrowth*len(value)+1<<16) {
+			t.Fatalf("%d bytes claimed %d", len(value), grown)
+		}
+		if errP == nil {
+			again, err := jobs.Decode[jobs.Progress]("p1", jobs.Encode(&p))
+			if err != nil || compact && !reflect.DeepEqual(jobs.Encode(&again), jobs.Encode(&p)) {
+				t.Fatal("progress is not stored as it was", err)
+			}
+		}
+		if errJ == nil {
+			again, err := jobs.Decode[jobs.Job]("j1", jobs.Encode(j))
+			if err != nil || compact && !reflect.DeepEqual(again, j) {
+				t.Fatal("submission is not stored as it was", err)
+			}
+		}
+		for _, err := range []error{errP, errJ} {
+			var e *jobs.EntryError
+			if err != nil && !errors.As(err, &e) {
+				t.Fatal("not an EntryError", err)
+			}
+		}
+	})
+}
+
+func allocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
--- a/internal/jobs/entry.go
+++ b/internal/jobs/entry.go
@@ -70,18 +70,44 @@
 // Unwrap returns the decoder's error.
 func (e *EntryError) Unwrap() error { return e.Cause }
 
-// Decode reads a stored value. The error is an EntryError.
+// Decode reads a stored value in either form. The error is an EntryError.
 func Decode[T any](key string, value []byte) (T, error) {
 	var out T
-	if err := json.Unmarshal(value, &out); err != nil {
+	if err := decode(value, &out); err != nil {
 		return out, errors.WithStack(&EntryError{Key: key, Cause: err})
 	}
 	return out, nil
 }
 
-// Encode returns the stored form of a value. The types of this package always
-// have one.
+func decode(value []byte, out any) (err error) {
+	if isCompact(value) {
+		switch out := out.(type) {
+		case *Progress:
+			*out, err = expandProgress(value)
+			return err
+		case *Job:
+			*out, err = expandJob(value)
+			return err
+		}
+	}
+	return json.Unmarshal(value, out)
+}
+
+// Encode returns the stored form of a value: the compact one of submissions and
+// progress, and JSON of anything else. The types of this package always have one.
 func Encode(v any) []byte {
+	switch v := v.(type) {
+	case *Progress:
+		if b, ok := compactProgress(v); ok {
+			return b
+		}
+	case Progress:
+		return Encode(&v)
+	case *Job:
+		return compactJob(v)
+	case Job:
+		return compactJob(&v)
+	}
 	b, err := json.Marshal(v)
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "stored value"))
