Ownership: an owner that made way leaves the cell to the others first

An instance without enough processor releases the cell once one with enough is linked. It knows of the release at once, while the others read it up to 0.3 s later and spread their claims over 0.15 s; a claim of an instance of 0.2 core is delayed by 0.2 to 0.35 s. So it often owned the cell again and made way anew 3 s later.

An instance now claims a cell that it has released itself 0.7 s later.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -73,32 +73,35 @@
 	}
 }
 
-// The smallest VM owned the cell for good because it was the first to claim it.
+// The smallest VM owned the cell for good because it was the first to claim it,
+// or claimed it again before the others had read that it had made way.
 func TestWeakOwnerMakesWay(t *testing.T) {
 	is := is.New(t)
-	s := newSim(1, 0, 4)
-	weak := s.addNode(0.2)
-	s.run(2 * time.Second)
-	is.True(weak.cell.settled) // there was no other
-	strong := s.addNode(0.8)
-	s.run(time.Second)
-	for i := range 40 {
-		s.after(time.Duration(i)*200*time.Millisecond, func() {
-			s.put(jobs.ID(fmt.Sprintf("%016x", i+1)), "urgent", jobs.Step{Tasks: 2, Need: cores(1), EstimateMs: 300})
-		})
+	for seed := range uint64(40) {
+		s := newSim(seed, 0, 4)
+		weak := s.addNode(0.2)
+		s.run(2 * time.Second)
+		is.True(weak.cell.settled) // there was no other
+		strong := s.addNode(0.8)
+		s.run(time.Second)
+		for i := range 40 {
+			s.after(time.Duration(i)*200*time.Millisecond, func() {
+				s.put(jobs.ID(fmt.Sprintf("%016x", i+1)), "urgent", jobs.Step{Tasks: 2, Need: cores(1), EstimateMs: 300})
+			})
+		}
+		weak.send(weak.life, AdvisorChanged{Name: strong.cell.cfg.Self, Up: true, Cores: strong.cores})
+		s.run(2 * time.Second)
+		is.True(weak.owner) // the other may be about to restart
+		s.run(4 * time.Second)
+		is.True(strong.owner && !weak.owner)
+		strong.kill()
+		s.run(3 * time.Second)
+		is.True(weak.owner) // better than none
+		strong.start()
+		s.run(20 * time.Second)
+		s.checkEnd()
+		is.Equal(s.wrong, nil)
 	}
-	weak.send(weak.life, AdvisorChanged{Name: strong.cell.cfg.Self, Up: true, Cores: strong.cores})
-	s.run(2 * time.Second)
-	is.True(weak.owner) // the other may be about to restart
-	s.run(4 * time.Second)
-	is.True(strong.owner && !weak.owner)
-	strong.kill()
-	s.run(3 * time.Second)
-	is.True(weak.owner) // better than none
-	strong.start()
-	s.run(20 * time.Second)
-	s.checkEnd()
-	is.Equal(s.wrong, nil)
 }
 
 // The end of a run that was stopped was logged with the time since the stop, so
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -25,6 +25,10 @@
 	readFresh = 600 * time.Millisecond
 	// claimRetry is the pause after a lost or failed claim.
 	claimRetry = 400 * time.Millisecond
+	// wayPause is how long an owner that has given the cell up leaves it to the
+	// others. It covers their pause between reads of the stream, one read over a
+	// slow link and the spread of their claims.
+	wayPause = 700 * time.Millisecond
 
 	// clockRate bounds how much slower than the owner's clock a worker's may
 	// run, as the platform promises.
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -18,6 +18,9 @@
 		return // the store can't be read, so the owner's silence means nothing
 	}
 	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
+	if c.claim.Released && c.claim.Address == c.cfg.Address {
+		limit = wayPause // for another instance, which reads of it later
+	}
 	if silent < limit+succession.ClaimDelay(c.cfg.Cores, c.cfg.Spread) {
 		return
 	}
