Reducer: the first start of a job is stored with its next change

When the first run of a job was confirmed, the whole job was stored again only to say so, with the workers of all its tasks. No successor needs that: it takes the placements over and learns from their workers that they run. Callers see it as the state, and in the number of waiting jobs, which may be 2 s old.

The state is now stored with the next change of the job, or after 1 s. TestTakeoverBeforeTheFirstStartIsStored shows that a successor comes to the same state without it, in 20 histories.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -54,6 +54,11 @@
 	placementLife = 1500 * time.Millisecond
 	// refusedRetry is the pause after an append that the store refused.
 	refusedRetry = 50 * time.Millisecond
+	// firstStartDelay is how long the first start of a job may wait for another
+	// reason to store the job. Most ends come sooner, and a successor learns of the
+	// start from the worker. With the way through the store it stays below the 2 s
+	// that the number of waiting jobs may be old.
+	firstStartDelay = time.Second
 	// appendWeight is the number of appends over which their time is smoothed.
 	appendWeight = 4
 	// stopRetry is the pause before a stop without an answer is sent again.
--- a/internal/cell/entries_test.go
+++ b/internal/cell/entries_test.go
@@ -12,20 +12,21 @@
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
-// entryJobs are jobs of the widths that the users' sites have: the tasks of
-// each step.
+// entryJobs are jobs like those of the users' sites: the tasks of each step and
+// how long each takes.
 var entryJobs = []struct {
 	name  string
 	steps []int
+	ms    int64
 }{
-	{"25 x 1.5", []int{25, 12}},
-	{"16", []int{16}},
-	{"3", []int{3}},
+	{"25 x 1.5", []int{25, 12}, 2900},
+	{"16", []int{16}, 5300},
+	{"3", []int{3}, 680},
 }
 
 // entryLife plays a job of one task after another alone, and returns the
 // entries that its owner writes of it until it has ended.
-func entryLife(t testing.TB, steps []int) (jobs.Job, []Entry) {
+func entryLife(t testing.TB, steps []int, ms int64) (jobs.Job, []Entry) {
 	t.Helper()
 	s := newSim(1, 0, 0)
 	for range 40 {
@@ -36,7 +37,7 @@
 	s.run(3 * time.Second)
 	j := jobs.Job{ID: "5c0e7a21d94b36f8", Queue: "batch", Payload: "(text)", SubmittedMs: 1790000000000}
 	for i, tasks := range steps {
-		st := jobs.Step{Tasks: tasks, Need: model.Resources{MilliCPU: 8500, MemoryMB: 3600}, EstimateMs: 2900, Checkpoints: true}
+		st := jobs.Step{Tasks: tasks, Need: model.Resources{MilliCPU: 8500, MemoryMB: 3600}, EstimateMs: ms, Checkpoints: true}
 		if i > 0 {
 			st.After = []int{i - 1}
 		}
@@ -82,7 +83,7 @@
 	for _, w := range entryJobs {
 		t.Run(w.name, func(t *testing.T) {
 			is := is.New(t)
-			j, entries := entryLife(t, w.steps)
+			j, entries := entryLife(t, w.steps, w.ms)
 			stored, asJSON := sizes(t, entries)
 			text, err := json.Marshal(j)
 			is.NoErr(err)
@@ -99,7 +100,7 @@
 // BenchmarkEntries encodes and decodes all entries of a job's life.
 func BenchmarkEntries(b *testing.B) {
 	for _, w := range entryJobs {
-		j, entries := entryLife(b, w.steps)
+		j, entries := entryLife(b, w.steps, w.ms)
 		stored, _ := sizes(b, entries)
 		var all []jobs.Progress
 		for _, e := range entries {
@@ -133,3 +134,100 @@
 		})
 	}
 }
+
+// storedStates returns the states of a job's entries in their order.
+func (s *sim) storedStates(t testing.TB, id jobs.ID) []jobs.State {
+	t.Helper()
+	var out []jobs.State
+	for _, e := range s.store.progress {
+		if e.Key == jobs.ProgressKey(id) {
+			out = append(out, decoded(t, e).State)
+		}
+	}
+	return out
+}
+
+// The first start of a job was stored by an entry of its own, as long as that of
+// its placement. An end that comes soon says it as well.
+func TestFirstStartIsStoredWithTheNextChange(t *testing.T) {
+	is := is.New(t)
+	s, _ := owned(t, 1, 2)
+	const short, long = jobs.ID("00000000000000aa"), jobs.ID("00000000000000bb")
+	s.put(short, "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 400})
+	s.put(long, "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 8000})
+	s.run(700 * time.Millisecond)
+	is.Equal(s.storedStates(t, long), []jobs.State{jobs.Queued}) // placed, and not worth an entry yet
+	s.run(2 * time.Second)
+	is.Equal(s.storedStates(t, short), []jobs.State{jobs.Queued, jobs.Completed})
+	is.Equal(s.storedStates(t, long), []jobs.State{jobs.Queued, jobs.Running})
+	v, _ := s.nodes[0].cell.Job(long)
+	is.Equal(v.State, jobs.Running)
+	is.Equal(s.nodes[0].cell.Waiting("batch"), 0)
+	s.run(15 * time.Second)
+	is.Equal(s.storedStates(t, long), []jobs.State{jobs.Queued, jobs.Running, jobs.Completed})
+	is.Equal(s.wrong, nil)
+}
+
+// A successor learns from the workers that a job has started, whether the store
+// says so or not.
+func TestTakeoverBeforeTheFirstStartIsStored(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		s := newSim(seed, 3, 4)
+		s.run(3 * time.Second)
+		const id = jobs.ID("00000000000000aa")
+		s.put(id, "batch", jobs.Step{Tasks: 3, Need: cores(1), EstimateMs: 8000})
+		for len(s.truth.running) == 0 {
+			s.run(time.Millisecond)
+		}
+		s.run(100 * time.Millisecond) // confirmed
+		is.Equal(s.storedStates(t, id), []jobs.State{jobs.Queued})
+		starts := 0
+		s.onLog = func(l Log) {
+			if l.What == "start sent" {
+				starts++
+			}
+		}
+		for _, n := range s.nodes {
+			if n.owner {
+				n.kill()
+			}
+		}
+		s.run(4 * time.Second)
+		is.Equal(starts, 0) // nothing was started again
+		for _, n := range s.nodes {
+			if n.owner {
+				v, _ := n.cell.Job(id)
+				is.Equal(v.State, jobs.Running)
+			}
+			if n.alive {
+				is.Equal(n.cell.Waiting("batch"), 0)
+			}
+		}
+		s.run(20 * time.Second)
+		for _, n := range s.nodes {
+			if n.alive {
+				v, _ := n.cell.Job(id)
+				is.Equal(v.State, jobs.Completed)
+			}
+		}
+		is.Equal(s.wrong, nil)
+	}
+}
+
+// The store may refuse the append that says that a job has started.
+func TestFirstStartIsStoredAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	s, _ := owned(t, 1, 2)
+	const id = jobs.ID("00000000000000aa")
+	s.put(id, "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 12000})
+	for len(s.truth.running) == 0 {
+		s.run(time.Millisecond)
+	}
+	s.storeBusy = true
+	s.run(3 * time.Second)
+	is.Equal(s.storedStates(t, id), []jobs.State{jobs.Queued})
+	s.storeBusy = false
+	s.run(time.Second)
+	is.Equal(s.storedStates(t, id), []jobs.State{jobs.Queued, jobs.Running})
+}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -175,8 +175,20 @@
 	}
 }
 
+// noteFirstStarts lets the next append say that a job has started, unless an end
+// said so meanwhile.
+func (c *Cell) noteFirstStarts() {
+	for len(c.firstStarts) > 0 && c.now.Sub(c.firstStarts[0].at) >= firstStartDelay {
+		if j := c.firstStarts[0].job; j.stored == jobs.Queued {
+			c.markDirty(j)
+		}
+		c.firstStarts = c.firstStarts[1:]
+	}
+}
+
 // flush appends everything that changed, or a heartbeat.
 func (c *Cell) flush() {
+	c.noteFirstStarts()
 	if c.inFlight != nil {
 		c.refuseLateOffers()
 		return
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -101,7 +101,7 @@
 	if j := p.group.job; j.state == jobs.Queued {
 		j.state, j.started = jobs.Running, true
 		c.observe("job_wait_seconds", j.queue, c.now.Sub(j.arrived))
-		c.markDirty(j)
+		c.firstStarts = append(c.firstStarts, firstStart{job: j, at: c.now})
 	}
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -228,11 +228,12 @@
 	reserved     map[*worker]*group // for gangs that wait
 	reservations int                // gangs that workers are reserved for in this pass
 	dirty        []*job
-	offered      []Entry  // submissions and cancellations for the next append
-	offers       []uint64 // tickets of offered
-	newJobs      []*job   // among offered
-	cancelled    []*job   // by offers
-	commit       uint64   // number of the append in flight, or of the last one
+	firstStarts  []firstStart // that may not be in an append yet, the oldest first
+	offered      []Entry      // submissions and cancellations for the next append
+	offers       []uint64     // tickets of offered
+	newJobs      []*job       // among offered
+	cancelled    []*job       // by offers
+	commit       uint64       // number of the append in flight, or of the last one
 	inFlight     *commit
 	lastSent     model.Time
 	planned      []*placement // to be in the next append
@@ -273,6 +274,12 @@
 	seq  int64
 }
 
+// firstStart is when the first run of a job was confirmed.
+type firstStart struct {
+	job *job
+	at  model.Time
+}
+
 // jobState is a job's state in an append.
 type jobState struct {
 	job   *job
