Reducer: the submission of a finished job is replaced by its remains

Finished jobs are kept for 180 s, with their whole submissions. An instance that loads the cell, as each does after it lost it, read all of them although only the state and the queue of a finished job are ever used again; the instances in memory keep no more either.

Once the store has a final state without runs, the owner's next append replaces the submission, if the progress stream has it, by id, queue and time. An append of its own is not made for that. A reader that sees the remains sees the final state as well: it is in the same stream, earlier, and under a key that a load lists later.

--- a/internal/cell/entries_test.go
+++ b/internal/cell/entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,3 +232,96 @@
 	s.run(time.Second)
 	is.Equal(s.storedStates(t, id), []jobs.State{jobs.Queued, jobs.Running})
 }
+
+// newestEntries returns what a reader of the progress stream loads.
+func (s *sim) newestEntries() map[string][]byte {
+	out := map[string][]byte{}
+	for _, e := range s.store.progress {
+		if out[e.Key] = e.Value; len(e.Value) == 0 {
+			delete(out, e.Key)
+		}
+	}
+	return out
+}
+
+// offerAll offers jobs to the owner, and returns their ids.
+func (s *sim) offerAll(n int, step jobs.Step) []jobs.ID {
+	var out []jobs.ID
+	for i := range n {
+		j := jobs.Job{ID: jobs.ID(fmt.Sprintf("%016x", i+1)), Queue: "batch", Payload: strings.Repeat("text", 250), Steps: []jobs.Step{step}}
+		s.newest[j.ID] = j
+		s.offer(Entry{Key: jobs.JobKey(j.ID), Value: jobs.Encode(j)})
+		out = append(out, j.ID)
+	}
+	return out
+}
+
+// Whoever loaded the cell read the whole submissions of all jobs that had ended
+// within their retention.
+func TestSubmissionsOfFinishedJobsAreShort(t *testing.T) {
+	is := is.New(t)
+	s, _ := owned(t, 1, 4)
+	ids := s.offerAll(20, jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 500})
+	s.run(10 * time.Second)
+	newest := s.newestEntries()
+	for _, id := range ids {
+		key := jobs.JobKey(id)
+		j, err := jobs.Decode[jobs.Job](key, newest[key])
+		is.NoErr(err)
+		is.Equal(j, jobs.Job{ID: id, Queue: "batch"})
+	}
+	n := s.addNode(1) // loads the cell
+	s.run(2 * time.Second)
+	for _, id := range ids {
+		v, known := n.cell.Job(id)
+		is.True(known)
+		is.Equal(v.State, jobs.Completed)
+		is.Equal(v.Queue, "batch")
+	}
+	is.Equal(n.cell.Waiting("batch"), 0)
+	s.checkEnd()
+	is.Equal(s.wrong, nil)
+}
+
+// While a finished job has a run left, its successor must know the room that the
+// run takes.
+func TestSubmissionOfAJobWithRunsIsWhole(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	id := s.offerAll(1, jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 20000})[0]
+	s.run(2 * time.Second)
+	is.Equal(len(s.truth.running), 1)
+	n.away[s.workers[0]] = true // so that the run can't be stopped
+	s.cancel(id)
+	s.run(3 * time.Second)
+	states := s.storedStates(t, id)
+	is.Equal(states[len(states)-1], jobs.Cancelled)
+	key := jobs.JobKey(id)
+	j, err := jobs.Decode[jobs.Job](key, s.newestEntries()[key])
+	is.NoErr(err)
+	is.Equal(len(j.Steps), 1)
+	clear(n.away)
+	s.run(10 * time.Second)
+	j, err = jobs.Decode[jobs.Job](key, s.newestEntries()[key])
+	is.NoErr(err)
+	is.Equal(len(j.Steps), 0)
+	is.Equal(s.wrong, nil)
+}
+
+// An append that the store refuses keeps no submission long for good.
+func TestSubmissionIsShortAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	id := s.offerAll(1, jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 500})[0]
+	for len(n.cell.finished) == 0 {
+		s.run(time.Millisecond)
+	}
+	s.storeBusy = true
+	s.run(2 * time.Second)
+	s.storeBusy = false
+	s.run(time.Second)
+	key := jobs.JobKey(id)
+	j, err := jobs.Decode[jobs.Job](key, s.newestEntries()[key])
+	is.NoErr(err)
+	is.Equal(len(j.Steps), 0)
+}
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -99,14 +99,16 @@
 }
 
 // releaseIfOver releases a finished job that has no runs left. While it has,
-// their room is taken.
-func (j *job) releaseIfOver() {
+// their room is taken. It returns true if it released something.
+func (j *job) releaseIfOver() bool {
 	for _, g := range j.groups {
 		if g.placed > 0 {
-			return
+			return false
 		}
 	}
+	held := len(j.steps) > 0
 	j.release()
+	return held
 }
 
 func (c *Cell) claimRead(claim jobs.Claim) {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
@@ -130,8 +131,8 @@
 		if s.state.Final() {
 			c.emit(JobSettled{ID: s.job.id})
 		}
-		if s.state.Final() && !s.job.dirty {
-			s.job.releaseIfOver()
+		if s.state.Final() && !s.job.dirty && s.job.releaseIfOver() && slices.Contains(s.job.parts, InProgress) {
+			c.finished = append(c.finished, s.job)
 		}
 	}
 	for w, e := range in.ends {
@@ -169,6 +170,7 @@
 	}
 	c.planned = append(in.planned, c.planned...)
 	c.forgotten = append(in.forgotten, c.forgotten...)
+	c.finished = append(in.finished, c.finished...)
 	c.endsDirty = true
 	if in.release {
 		c.released = false
@@ -216,6 +218,12 @@
 		a.Entries = append(a.Entries, Entry{Key: key})
 	}
 	in.forgotten, c.forgotten = c.forgotten, nil
+	for _, j := range c.finished {
+		if c.jobs[j.id] == j {
+			a.Entries = append(a.Entries, Entry{Key: jobs.JobKey(j.id), Value: jobs.Encode(j.remains())})
+		}
+	}
+	in.finished, c.finished = c.finished, nil
 	for _, w := range c.list {
 		if w.seenEnd > w.durableEnd {
 			in.ends[w] = endMark{boot: w.boot, seq: w.seenEnd}
@@ -267,6 +275,12 @@
 	return p
 }
 
+// remains returns what is kept of a submission once nothing is left to be done
+// for it, so that those who load the cell read little of finished jobs.
+func (j *job) remains() jobs.Job {
+	return jobs.Job{ID: j.id, Queue: j.queue, SubmittedMs: j.submitted}
+}
+
 func (g *group) snapshot() *jobs.GroupProgress {
 	gp := &jobs.GroupProgress{Occurrence: g.occurrence, Step: g.index, Run: g.run, Failures: g.failures, FailedRun: g.failedRun}
 	touched := g.run > 0 || g.doneCount > 0
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -252,6 +252,7 @@
 	endsDirty     bool // workers listed ends that are not in an append yet
 	forgetAt      model.Time
 	forgotten     []string // keys that the next append removes
+	finished      []*job   // whose submissions the next append shortens
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
@@ -272,6 +273,7 @@
 	ends      map[*worker]endMark
 	release   bool
 	forgotten []string
+	finished  []*job
 }
 
 // endMark names the newest end of one life of a worker that an append covers.
