--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -237,11 +237,12 @@
 	reserved     map[*worker]*group // for gangs that wait
 	reservations int                // gangs that workers are reserved for in this pass
 	dirty        []*job
-	offered      []Entry  // submissions and cancellations for the next append
-	offers       []uint64 // tickets of offered
-	newJobs      []*job   // among offered
-	cancelled    []*job   // by offers
-	commit       uint64   // number of the append in flight, or of the last one
+	firstStarts  []firstStart // that may not be in an append yet, the oldest first
+	offered      []Entry      // submissions and cancellations for the next append
+	offers       []uint64     // tickets of offered
+	newJobs      []*job       // among offered
+	cancelled    []*job       // by offers
+	commit       uint64       // number of the append in flight, or of the last one
 	inFlight     *commit
 	lastSent     model.Time
 	planned      []*placement // to be in the next append
@@ -254,6 +255,7 @@
 	endsDirty     bool // workers listed ends that are not in an append yet
 	forgetAt      model.Time
 	forgotten     []string // keys that the next append removes
+	finished      []*job   // whose submissions the next append shortens
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
@@ -274,6 +276,7 @@
 	ends      map[*worker]endMark
 	release   bool
 	forgotten []string
+	finished  []*job
 }
 
 // endMark names the newest end of one life of a worker that an append covers.
@@ -282,6 +285,12 @@
 	seq  int64
 }
 
+// firstStart is when the first run of a job was confirmed.
+type firstStart struct {
+	job *job
+	at  model.Time
+}
+
 // jobState is a job's state in an append.
 type jobState struct {
 	job   *job
