A busy owner gathers what it appends and steps less often

Appends and steps every few milliseconds took a part of the processor of owners with 0.12 core that starts needed. While calls are answered late, an owner gathers for an eighth of the usual delay, at most 20 ms.

--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -198,6 +198,9 @@
 	if c.released || c.storeRefuses && c.now.Sub(c.lastSent) < refusedRetry {
 		return
 	}
+	if c.now.Sub(c.lastSent) < c.pace.Batching() {
+		return
+	}
 	beat := c.now.Sub(c.lastSent) >= heartbeatInterval
 	if len(c.dirty) == 0 && len(c.offered) == 0 && len(c.planned) == 0 && !c.endsDirty && !beat && !c.wantsRelease() {
 		return
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -370,6 +370,10 @@
 // OwnerAge returns how long ago the owner was last known to act.
 func (c *Cell) OwnerAge(now model.Time) time.Duration { return now.Sub(c.ownerSeen) }
 
+// Gathering returns for how long an owner is to gather events before its next
+// step.
+func (c *Cell) Gathering() time.Duration { return c.pace.Batching() / 2 }
+
 // Jobs returns the number of jobs known.
 func (c *Cell) Jobs() int { return len(c.jobs) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 		case b := <-n.events:
 			if n.Owns() {
 				// Events that come together are handled together.
-				time.Sleep(stepPause)
+				time.Sleep(max(stepPause, n.gathering()))
 			}
 			events, taken := n.gather(b)
 			n.step(ctx, events)
@@ -167,6 +167,13 @@
 	return n.life.owner.Load()
 }
 
+// gathering returns for how long a busy owner gathers events.
+func (n *Node) gathering() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cell.Gathering()
+}
+
 // batch holds events for the reducer.
 type batch struct {
 	events []cell.Event
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -76,6 +76,9 @@
 	maxSpacing = 400 * time.Millisecond
 	// rateWeight is the weight of one period in the rate.
 	rateWeight = 0.2
+	// batchPart of the usual delay is spent on gathering, up to maxBatching.
+	batchPart   = 8
+	maxBatching = 20 * time.Millisecond
 	// longestWait is how long work may wait for its turn to be sent. What would
 	// wait longer is better handed in again later.
 	longestWait = 8 * time.Second
@@ -229,6 +232,15 @@
 	return min(spacingFactor*p.delay, maxSpacing)
 }
 
+// Batching returns for how long work for the store and for workers is gathered
+// before it is sent. A busy instance sends fewer and larger messages.
+func (p *Pacer) Batching() time.Duration {
+	if p.delay < slowAfter/4 {
+		return 0
+	}
+	return min(p.delay/batchPart, maxBatching)
+}
+
 // Backlog is the work that waits for its turn to be sent, in bytes of starts.
 type Backlog struct {
 	Ahead int // goes before the work in question, itself included
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -198,3 +198,22 @@
 	over, _ = mixed(4).Overloaded(0, late)
 	is.True(!over)
 }
+
+// A busy instance spent much of its processor on many small appends and steps.
+func TestBusyInstancesGather(t *testing.T) {
+	is := is.New(t)
+	p := New(0, 0.12)
+	is.Equal(p.Batching(), time.Duration(0))
+	now := start
+	answer := func(took time.Duration) {
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			p.Add(1000)
+			p.Answered(now, 1000, took, true)
+		}
+	}
+	answer(10 * time.Millisecond)
+	is.Equal(p.Batching(), time.Duration(0)) // urgent work is not kept waiting
+	answer(120 * time.Millisecond)
+	is.True(p.Batching() >= 10*time.Millisecond && p.Batching() <= 20*time.Millisecond)
+}
