Findings of the review: bounds for renewals, planned starts, gangs, relays and loads

- Renewals of workers that do not answer, and while ends wait for the store, had no bound (TestRenewalsOfLostWorkersArePaced, TestRenewalsWhileEndsWaitForTheStoreArePaced).
- Starts planned during a slow append counted as under way (TestSlowAppendsDoNotHoldStartsBack); they are sent as the limit allows.
Timeouts count what is under way.
- A gang waited for a member whose start had no answer (TestGangIsBrokenWhenAStartHasNoAnswer); a start was sent to a worker that drains (TestNoStartOnAWorkerThatDrains).
- Few slow calls taught the pacer nothing, other calls at the limit lowered the rate of starts (TestTimeoutsGrowWithFewCalls, TestOtherCallsSayNothingAboutTheRateOfStarts).

--- /dev/null
+++ b/internal/cell/calls_test.go
@@ -0,0 +1,131 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/pacing"
+)
+
+// narrowOwner returns an owner of many workers behind 2 Mbit/s.
+func narrowOwner(t *testing.T) (*sim, *Cell) {
+	t.Helper()
+	s := newSim(1, 0, grownWorkers)
+	n := s.addLinkedNode(grownCores, grownBandwidth)
+	s.run(5 * time.Second)
+	if !n.cell.settled {
+		t.Fatal("no owner")
+	}
+	return s, n.cell
+}
+
+// renewals returns the bytes of the renewals that are answered at once.
+func renewals(out []Effect) int {
+	n := 0
+	for _, e := range out {
+		if r, ok := e.(Renew); ok && r.Wait == 0 {
+			n += pacing.RenewCost
+		}
+	}
+	return n
+}
+
+// When the owner's link was full, all its renewals failed together, and each was
+// made again over a new connection after a fixed pause, which kept the link full.
+func TestRenewalsOfLostWorkersArePaced(t *testing.T) {
+	is := is.New(t)
+	s, c := narrowOwner(t)
+	var failed []Event
+	for _, w := range c.list {
+		w.renewing = true
+		failed = append(failed, Renewed{Worker: w.info.Name, SentAt: s.now, Verdict: Unknown})
+	}
+	c.Step(s.now, failed...)
+	now := s.now.Add(renewPause)
+	sent := renewals(c.Step(now, Tick{StoreAnswered: now}))
+	is.True(sent <= 2*c.pace.Limit()) // as when it asks them for the first time
+}
+
+// While the store was slow, the owner asked every worker with an end that was not
+// stored three times a second, whatever its link carries.
+func TestRenewalsWhileEndsWaitForTheStoreArePaced(t *testing.T) {
+	is := is.New(t)
+	s, c := narrowOwner(t)
+	now := s.now.Add(renewPause)
+	var ends []Event
+	for _, w := range c.list {
+		w.renewing = true
+		ends = append(ends, Renewed{
+			Worker: w.info.Name, SentAt: now, Verdict: Accepted, Boot: w.boot, Clock: w.clock + model.WorkerTime(time.Second),
+			Ended: []RunEnd{{Seq: w.seenEnd + 1, Task: jobs.TaskRef{Job: "00000000000000aa"}, Run: 1, Outcome: jobs.OutcomeDone}},
+		})
+	}
+	sent := renewals(c.Step(now, ends...))
+	for _, w := range c.list {
+		is.True(w.seenEnd > w.durableEnd)
+	}
+	is.True(sent <= 2*c.pace.Limit())
+}
+
+// The other members of a gang waited for one whose start had no answer, and which
+// is stopped in any case, until they ended alone.
+func TestGangIsBrokenWhenAStartHasNoAnswer(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 2)
+	c := n.cell
+	s.put("00000000000000aa", "batch", jobs.Step{Tasks: 2, Need: cores(1), EstimateMs: 1000, Gang: true})
+	sent := func() (out []*placement) {
+		for _, w := range c.list {
+			for _, p := range w.runs {
+				if p.phase == phaseStarting {
+					out = append(out, p)
+				}
+			}
+		}
+		return out
+	}
+	for range 10_000 {
+		if len(sent()) == 2 {
+			break
+		}
+		s.run(100 * time.Microsecond)
+	}
+	ps := sent()
+	is.Equal(len(ps), 2)
+	stops := 0
+	for _, e := range c.Step(s.now, StartAnswered{Worker: ps[0].worker.info.Name, Task: ps[0].ref, Run: ps[0].run, Verdict: Unknown, Call: Call{SentAt: s.now}}) {
+		if _, ok := e.(Stop); ok {
+			stops++
+		}
+	}
+	is.Equal(stops, 2)
+}
+
+// A task was started on a worker that was known to drain for over a second, since
+// its placement had waited for a late append.
+func TestNoStartOnAWorkerThatDrains(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	c := n.cell
+	s.put("00000000000000aa", "batch", jobs.Step{Tasks: 1, Need: cores(1), EstimateMs: 1000})
+	w := c.list[0]
+	for range 10_000 {
+		if len(w.runs) > 0 {
+			break
+		}
+		s.run(100 * time.Microsecond)
+	}
+	is.True(c.inFlight != nil && len(c.inFlight.planned) == 1)
+	info := w.info
+	info.Draining = true
+	c.Step(s.now, WorkerListed{Info: info})
+	now := s.now.Add(1400 * time.Millisecond)
+	for _, e := range c.Step(now, Appended{Commit: c.inFlight.number, SentAt: s.now}) {
+		_, started := e.(Start)
+		is.True(!started)
+	}
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -21,6 +21,7 @@
 			if c.changed {
 				c.schedule()
 			}
+			c.sendStarts()
 			c.pump()
 		}
 		c.flush()
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -48,6 +48,9 @@
 	// renewPause separates renewals while ends wait for the store, or after a
 	// renewal that failed.
 	renewPause = 300 * time.Millisecond
+	// maxRenewDoublings bounds the growth of the pause after renewals that failed.
+	// A worker that is back has to be reached well within its lease.
+	maxRenewDoublings = 2
 	// placementLife bounds the age of a placement when its start is sent. An owner
 	// that was paused, or without the store, may have missed a cancellation, which
 	// must stop starts within 3 s.
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -149,9 +149,7 @@
 		c.emit(Reload{Reason: "released"})
 		return
 	}
-	for _, p := range in.planned {
-		c.startPlaced(p)
-	}
+	c.stored = append(c.stored, in.planned...)
 }
 
 // takeBack makes what a refused append would have stored part of the next one.
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -9,13 +9,36 @@
 	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 )
 
+// sendStarts sends the starts of stored placements, as many as may be under way.
+// A gang is sent whole: its members wait for each other at their workers.
+func (c *Cell) sendStarts() {
+	for len(c.stored) > 0 {
+		p := c.stored[0]
+		if !c.pace.StartAllowed() && !(p.group.step.Gang && p.group.starting(p.run)) {
+			return
+		}
+		c.stored = c.stored[1:]
+		c.startPlaced(p)
+	}
+}
+
+// starting reports whether a member of a gang's run was sent.
+func (g *group) starting(run int) bool {
+	for i := range g.tasks {
+		if p := g.tasks[i].placement; p != nil && p.run == run && p.phase != phasePlanned {
+			return true
+		}
+	}
+	return false
+}
+
 // startPlaced sends the start of a placement that the store has.
 func (c *Cell) startPlaced(p *placement) {
 	if p.phase != phasePlanned {
 		return
 	}
 	g, w := p.group, p.worker
-	if g.job.state.Final() || !w.fenced || w.failedCalls > 0 {
+	if g.job.state.Final() || !w.fenced || w.failedCalls > 0 || w.info.Draining {
 		c.dropUnsent(p, "no longer wanted")
 		return
 	}
@@ -30,7 +53,8 @@
 	}
 	t := &g.tasks[p.ref.Index]
 	p.phase, p.sentAt = phaseStarting, c.now
-	call := Call{SentAt: c.now, Cost: p.cost} // its room is kept until the answer
+	call := Call{SentAt: c.now, Cost: p.cost}
+	c.pace.Start(c.priorityOf(g.job.queue), p.cost)
 	p.cost = 0
 	j := g.job
 	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
@@ -89,6 +113,9 @@
 		// all three unless a renewal lists the run before.
 		if p.phase == phaseStarting {
 			c.stop(p, "start without a usable answer")
+			if p.group.step.Gang {
+				c.breakGang(p.group, p.run, "a member has no answer")
+			}
 		}
 	}
 }
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -66,7 +66,7 @@
 // are not sent behind too many others. A gang starts whole or not at all, so
 // that any room lets it through.
 func (c *Cell) turn(g *group) int {
-	room := c.pace.Room()
+	room := c.pace.Room(c.usualAppend)
 	switch cost := startCost(len(g.job.payload)); {
 	case room == 0:
 		return 0
@@ -247,7 +247,7 @@
 	}
 	p := c.newPlacement(g, index, w, run)
 	p.cost = startCost(len(g.job.payload))
-	c.pace.AddStart(c.priorityOf(g.job.queue), p.cost)
+	c.pace.Plan(p.cost)
 	w.probe = false
 	c.planned = append(c.planned, p)
 	c.observe("placement_wait_seconds", g.job.queue, c.now.Sub(g.readyAt))
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -165,6 +165,7 @@
 	seenEnd     int64 // ends up to this were handled
 	durableEnd  int64 // ends up to this are in the store
 	renewing    bool
+	lostRenewal bool // the renewal under way is to one that did not answer before
 	renewSent   model.Time
 	renewFailed model.Time
 	failedCalls int // renewals in a row without an answer
@@ -233,6 +234,8 @@
 	pace         *pacing.Pacer
 	slowedAt     model.Time         // newest line about calls that are slowed
 	held         int                // bytes of starts that the last pass held back
+	lostRenewals int                // under way, to workers that did not answer before
+	pumpFrom     int                // where renewals begin
 	asking       int                // eligibility calls in flight
 	reserved     map[*worker]*group // for gangs that wait
 	reservations int                // gangs that workers are reserved for in this pass
@@ -246,6 +249,7 @@
 	inFlight     *commit
 	lastSent     model.Time
 	planned      []*placement // to be in the next append
+	stored       []*placement // whose starts are to be sent
 	released     bool
 	makesWay     bool          // gives the cell up to another instance
 	storeRefuses bool          // the last append was refused
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -28,8 +28,11 @@
 
 // pump keeps one renewal at each worker that matters.
 func (c *Cell) pump() {
-	for _, w := range c.list {
-		if c.renewDue(w) {
+	// Begins with another worker each time, since the bounds may not let all
+	// through.
+	c.pumpFrom++
+	for i := range c.list {
+		if w := c.list[(i+c.pumpFrom)%len(c.list)]; c.renewDue(w) {
 			c.renew(w)
 		}
 	}
@@ -44,11 +47,12 @@
 	case !w.listed && len(w.runs) == 0 && w.seenEnd == w.durableEnd:
 		return false
 	case w.failedCalls > 0:
-		return c.now.Sub(w.renewFailed) >= renewPause
+		pause := renewPause << min(w.failedCalls-1, maxRenewDoublings)
+		return c.now.Sub(w.renewFailed) >= pause && c.lostRenewals < c.pace.Lost()
 	case w.seenEnd > w.durableEnd:
 		// The store does not have the newest ends yet. The worker would list
 		// them again at once.
-		return c.now.Sub(w.renewSent) >= renewPause
+		return c.now.Sub(w.renewSent) >= renewPause && c.pace.StopAllowed()
 	}
 	return c.now.Sub(w.renewSent) >= c.pace.Spacing()
 }
@@ -87,7 +91,11 @@
 	default:
 		r.Wait = idleWait
 	}
-	if r.Wait == 0 && w.failedCalls == 0 {
+	switch {
+	case w.failedCalls > 0:
+		w.lostRenewal = true
+		c.lostRenewals++
+	case r.Wait == 0:
 		r.Call = c.renewCall()
 	}
 	r.Timeout = r.Wait + c.pace.Timeout(renewMargin)
@@ -128,6 +136,10 @@
 		w.peeking = false
 	} else {
 		w.renewing = false
+		if w.lostRenewal {
+			w.lostRenewal = false
+			c.lostRenewals--
+		}
 	}
 	switch e.Verdict {
 	case Accepted:
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -106,6 +106,8 @@
 	Step    int                `json:"step"`
 	Occur   int                `json:"occur,omitempty"`
 	Workers []model.WorkerName `json:"workers"`
+	// WithinMs is how long the owner waits for the answer, in milliseconds.
+	WithinMs int64 `json:"within_ms,omitempty"`
 }
 
 // AskReply is the answer to an eligibility call.
--- a/internal/link/making.go
+++ b/internal/link/making.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -131,6 +132,9 @@
 func (c *clockBound) of(sentMs int64, now model.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.any && !c.anyPrevious {
+		return math.MaxInt64
+	}
 	d := c.earliest
 	if c.anyPrevious && (!c.any || c.previous > d) {
 		d = c.previous
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -15,7 +15,7 @@
 )
 
 // detourTime is how long the calls to a worker keep off an instance through which a
-// renewal failed. It is a few attempts: the instance may be cut off from the worker
+// call failed. It is a few attempts: the instance may be cut off from the worker
 // while others are not.
 const detourTime = 3 * time.Second
 
@@ -92,8 +92,8 @@
 	return d.peers[name], name // the owner is not among the peers
 }
 
-// renewed notes how a renewal that an instance was to make went.
-func (d *dispatcher) renewed(w model.WorkerName, instance string, v cell.Verdict) {
+// answered notes how a call that an instance was to make went.
+func (d *dispatcher) answered(w model.WorkerName, instance string, v cell.Verdict) {
 	if v != cell.Unknown && v != cell.NotSent {
 		return
 	}
@@ -136,10 +136,12 @@
 
 // Start implements Workers.
 func (d *dispatcher) Start(ctx context.Context, s cell.Start) cell.Verdict {
-	p, _ := d.route(s.Worker)
-	return relay(d, p, "start",
+	p, instance := d.route(s.Worker)
+	v := relay(d, p, "start",
 		func() (cell.Verdict, error) { return p.Start(ctx, s) },
 		func() cell.Verdict { return d.n.deps.Workers.Start(ctx, s) }, itself)
+	d.answered(s.Worker, instance, v)
+	return v
 }
 
 // Stop implements Workers.
@@ -157,7 +159,7 @@
 		func() (cell.Renewed, error) { return p.Renew(ctx, r) },
 		func() cell.Renewed { return d.n.deps.Workers.Renew(ctx, r) },
 		func(v cell.Verdict) cell.Renewed { return cell.Renewed{Worker: r.Worker, Verdict: v} })
-	d.renewed(r.Worker, instance, out.Verdict)
+	d.answered(r.Worker, instance, out.Verdict)
 	return out
 }
 
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -173,7 +173,7 @@
 func (n *Node) ask(l *life, a cell.Ask) {
 	ctx, cancel := context.WithTimeout(l.ctx, 2*a.Cost+askMargin)
 	defer cancel()
-	r := link.AskRequest{Job: a.Job, Step: a.Step, Occur: a.Occur, Workers: a.Workers}
+	r := link.AskRequest{Job: a.Job, Step: a.Step, Occur: a.Occur, Workers: a.Workers, WithinMs: (2*a.Cost + askMargin).Milliseconds()}
 	var reply link.AskReply
 	var err error
 	if a.Advisor == n.self {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -87,7 +87,10 @@
 		p, err := f.n.deps.Store.Newest(ctx, f.stream, after)
 		if err != nil {
 			f.fail(ctx, err)
-			return false
+			if ctx.Err() != nil {
+				return false
+			}
+			continue // the pages before need not be read again
 		}
 		f.succeed()
 		if end < 0 {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -256,6 +256,12 @@
 
 // Ask implements link.Handler.
 func (p peers) Ask(ctx context.Context, r link.AskRequest) link.AskReply {
+	within := askMargin
+	if r.WithinMs > 0 {
+		within = time.Duration(r.WithinMs) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
 	reply, err := p.n.deps.Eligibility.Ask(ctx, r)
 	if err != nil {
 		p.n.deps.Telemetry.Line("eligibility service", LineFields{Subject: string(r.Job), Reason: err.Error(), Outcome: "failed"})
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -38,8 +38,9 @@
 	coreRate = 1_500_000
 	// period is the time after which the limit is judged.
 	period = 100 * time.Millisecond
-	// minSlow is the number of slow answers in a period that says anything.
-	minSlow = 3
+	// minAnswers is the number of answers that says anything. A period lasts until
+	// there are as many.
+	minAnswers = 3
 	// shrink and grow change the limit; growth is slower, so that it settles.
 	shrink = 0.7
 	grow   = 1.1
@@ -56,6 +57,11 @@
 	askShare = 1000
 	// minAsks lets the usual work of a small site through.
 	minAsks = 16
+	// maxAhead bounds how many times the limit may be planned while a slow store
+	// takes the placements.
+	maxAhead = 8
+	// minLost lets a few of the workers that do not answer be asked at a time.
+	minLost = 8
 	// stopShare times the limit may be under way with stops, which free room and
 	// must not wait behind starts.
 	stopShare = 2
@@ -100,7 +106,8 @@
 // Pacer is the state of the decision. It is not safe for concurrent use.
 type Pacer struct {
 	limit   float64 // bytes that may be under way
-	under   int     // bytes of calls under way and of placements to be sent
+	under   int     // bytes of calls under way
+	planned int     // bytes of starts to be sent
 	delay   time.Duration
 	backoff time.Duration // factor of timeouts
 	began   model.Time    // of the period
@@ -131,11 +138,18 @@
 	}
 }
 
-// Room returns how many bytes of starts may be added.
-func (p *Pacer) Room() int { return max(0, int(p.limit)-p.under) }
+// Room returns how many bytes of starts may be planned, which are sent after an
+// append that usually takes a time.
+func (p *Pacer) Room(appends time.Duration) int {
+	ahead := min(1+float64(appends)/float64(initialQueue), maxAhead)
+	return max(0, int(ahead*p.limit)-p.under-p.planned)
+}
+
+// StartAllowed reports whether a start that was planned may be sent.
+func (p *Pacer) StartAllowed() bool { return p.under < int(p.limit) }
 
 // StopAllowed reports whether a stop may be sent.
-func (p *Pacer) StopAllowed() bool { return p.under < int(stopShare*p.limit) }
+func (p *Pacer) StopAllowed() bool { return p.under+StopCost <= int(stopShare*p.limit) }
 
 // Asks returns how many eligibility calls may be under way. Urgent work may use
 // what other work leaves, whose calls take long.
@@ -147,21 +161,29 @@
 	return n
 }
 
-// Add notes a call that is to be sent.
+// Lost returns how many renewals may be under way to workers that did not answer
+// before. They wait for their timeouts, so that they don't count with the rest.
+func (p *Pacer) Lost() int { return max(minLost, int(p.limit)/RenewCost) }
+
+// Add notes a call that is sent.
 func (p *Pacer) Add(cost int) { p.under += cost }
 
-// AddStart notes a start of work of a priority that is to be sent.
-func (p *Pacer) AddStart(priority, cost int) {
-	p.Add(cost)
+// Plan notes a start that is to be sent.
+func (p *Pacer) Plan(cost int) { p.planned += cost }
+
+// Drop notes that a planned start is not sent after all.
+func (p *Pacer) Drop(cost int) { p.planned -= cost }
+
+// Start notes that a planned start of work of a priority is sent.
+func (p *Pacer) Start(priority, cost int) {
+	p.planned -= cost
+	p.under += cost
 	p.starts[priority] += cost
 }
 
-// Drop notes that a call is not sent after all.
-func (p *Pacer) Drop(cost int) { p.under -= cost }
-
 // Answered notes that a call is over after a time, with or without an answer.
 func (p *Pacer) Answered(now model.Time, cost int, took time.Duration, answer bool) {
-	if p.Room() == 0 {
+	if !p.StartAllowed() {
 		p.full = true
 	}
 	p.under -= cost
@@ -173,7 +195,7 @@
 	} else {
 		p.quick++
 	}
-	if now.Sub(p.began) >= period {
+	if now.Sub(p.began) >= period && p.quick+p.slow >= minAnswers {
 		p.judge(now)
 	}
 }
@@ -182,7 +204,7 @@
 // few workers that do not answer say nothing about the instance.
 func (p *Pacer) judge(now model.Time) {
 	switch {
-	case p.slow > p.quick && p.slow >= minSlow:
+	case p.slow > p.quick:
 		p.limit = max(p.limit*shrink, minLimit)
 		p.backoff = min(2*p.backoff, maxBackoff)
 	case p.quick > p.slow:
@@ -206,10 +228,10 @@
 		total += bytes
 		p.shares[priority] += 0 // is in the map from now on
 	}
-	p.rate = max(p.rate+rateWeight*(float64(total)/d.Seconds()-p.rate), 1)
 	if total == 0 {
-		return
+		return // other calls were at the limit
 	}
+	p.rate = max(p.rate+rateWeight*(float64(total)/d.Seconds()-p.rate), 1)
 	for priority, share := range p.shares {
 		p.shares[priority] += rateWeight * (float64(p.starts[priority])/float64(total) - share)
 	}
@@ -219,9 +241,10 @@
 func (p *Pacer) Held(held bool) { p.held = held }
 
 // Timeout returns how long an answer is waited for that usually takes up to a
-// time.
+// time. What is under way, a wide gang for one, goes before it.
 func (p *Pacer) Timeout(usual time.Duration) time.Duration {
-	return max(usual, min(p.backoff*max(usual, timeoutFactor*p.delay), maxTimeout))
+	before := time.Duration(float64(p.under) / p.rate * float64(time.Second))
+	return max(usual, min(p.backoff*max(usual, timeoutFactor*p.delay)+before, maxTimeout))
 }
 
 // Spacing returns the pause between renewals at one worker.
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -25,8 +25,9 @@
 			longest = max(longest, took)
 			open = open[1:]
 		}
-		for p.Room() > 0 {
-			p.AddStart(0, cost)
+		for p.StartAllowed() {
+			p.Plan(cost)
+			p.Start(0, cost)
 			sent += cost
 			free = max(free, now).Add(time.Duration(float64(cost) / rate * float64(time.Second)))
 			open = append(open, call{now, free.Add(2 * time.Millisecond)})
@@ -77,7 +78,7 @@
 	}
 	is.True(p.Timeout(200*time.Millisecond) >= 800*time.Millisecond)
 	is.True(p.Timeout(200*time.Millisecond) <= time.Second)
-	is.True(p.Room() > 0) // a few calls are always tried
+	is.True(p.Room(0) > 0) // a few calls are always tried
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
 		p.Add(1000)
@@ -110,12 +111,12 @@
 func TestRoomComesBack(t *testing.T) {
 	is := is.New(t)
 	p := New(250_000, 0)
-	room := p.Room()
-	p.Add(700)
+	room := p.Room(0)
+	p.Plan(700)
 	p.Drop(700)
 	p.Add(900)
 	p.Answered(start, 900, time.Millisecond, false)
-	is.True(p.Room() >= room)
+	is.True(p.Room(0) >= room)
 }
 
 // Stops free room, so they go on when starts have to wait, but not without end.
@@ -123,7 +124,8 @@
 	is := is.New(t)
 	p := New(250_000, 0)
 	p.Add(p.Limit())
-	is.Equal(p.Room(), 0)
+	is.Equal(p.Room(0), 0)
+	is.True(!p.StartAllowed())
 	is.True(p.StopAllowed())
 	p.Add(p.Limit())
 	is.True(!p.StopAllowed())
@@ -169,10 +171,10 @@
 		if i%10 < urgentOfTen {
 			priority = 0
 		}
-		p.AddStart(priority, 1000)
-		p.Add(p.Room())
-		p.Answered(now, 1000, 10*time.Millisecond, true)
-		p.Drop(p.under)
+		p.Plan(1000)
+		p.Start(priority, 1000)
+		p.Add(p.Limit())
+		p.Answered(now, 1000+p.Limit(), 10*time.Millisecond, true)
 		p.Held(true)
 	}
 	return p
@@ -217,3 +219,59 @@
 	answer(120 * time.Millisecond)
 	is.True(p.Batching() >= 10*time.Millisecond && p.Batching() <= 20*time.Millisecond)
 }
+
+// An owner with few calls, all of them late, gave each one up after the usual time:
+// two slow answers in a period were never enough to say anything.
+func TestTimeoutsGrowWithFewCalls(t *testing.T) {
+	is := is.New(t)
+	p := New(0, 0.12)
+	now := start
+	for range 100 { // ten seconds
+		for range 2 {
+			now = now.Add(period / 2)
+			p.Add(1000)
+			p.Answered(now, 1000, 200*time.Millisecond, false)
+		}
+	}
+	is.True(p.Timeout(200*time.Millisecond) > 200*time.Millisecond)
+}
+
+// Submissions were refused after many jobs had been cancelled, or a new owner had
+// asked its workers: periods that were full of other calls counted as such in which
+// no start could be sent.
+func TestOtherCallsSayNothingAboutTheRateOfStarts(t *testing.T) {
+	is := is.New(t)
+	p := New(1_250_000, 0.4)
+	now := start
+	for range 200 { // two seconds
+		now = now.Add(10 * time.Millisecond)
+		n := 0
+		for p.StopAllowed() {
+			p.Add(StopCost)
+			n++
+		}
+		for range n {
+			p.Answered(now, StopCost, 5*time.Millisecond, true)
+		}
+	}
+	p.Held(true)
+	// A tenth of a second's worth of the rate that the link and processor have.
+	over, _ := p.Overloaded(0, Backlog{Ahead: 60_000, All: 60_000, Useful: 3 * time.Second})
+	is.True(!over)
+}
+
+// A slow store kept the starts of a whole append cycle within what may be under
+// way, although nothing was: 60 starts for each append of a quarter second.
+func TestSlowAppendsDoNotHoldStartsBack(t *testing.T) {
+	is := is.New(t)
+	p := New(25_000_000, 0.8)
+	const cost, appends = 1000, 240 * time.Millisecond
+	planned := 0
+	for p.Room(appends) > 0 && planned < 1_000_000 {
+		p.Plan(cost)
+		planned += cost
+	}
+	is.True(float64(planned)/appends.Seconds() > 700*cost) // starts a second at a crest
+	is.Equal(p.Room(0), 0)
+	is.True(p.StartAllowed()) // nothing is under way
+}
