--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -147,8 +147,15 @@
 	return Tick{UnixMs: (time.Duration(n.s.now) + n.skew).Milliseconds(), StoreAnswered: n.answered}
 }
 
-func (s *sim) addNode(cores float64) *simNode {
+func (s *sim) addNode(cores float64) *simNode { return s.addLinkedNode(cores, 0) }
+
+// addLinkedNode adds an instance whose link has a rate in bytes a second; zero
+// is no limit.
+func (s *sim) addLinkedNode(cores float64, bandwidth int64) *simNode {
 	n := &simNode{s: s, cores: cores, name: fmt.Sprintf("vm-%d", len(s.nodes)+1), away: map[*simWorker]bool{}}
+	if bandwidth > 0 {
+		n.link = newSimLink(n, bandwidth, 0)
+	}
 	s.nodes = append(s.nodes, n)
 	n.start()
 	return n
