--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -60,7 +60,9 @@
 }
 
 func (c *Cell) jobDropped(id jobs.ID) {
-	if j := c.jobs[id]; j != nil && j.state.Final() {
+	// Of a finished job that was removed while it was being loaded, only the
+	// remains of its submission may be known.
+	if j := c.jobs[id]; j != nil && (j.state.Final() || len(j.steps) == 0) {
 		delete(c.jobs, id)
 	}
 	delete(c.cancels, id)
