--- a/internal/link/calls_test.go
+++ b/internal/link/calls_test.go
@@ -54,7 +54,7 @@
 
 // connect links a maker of calls to an owner. It returns the owner's end, the
 // maker's, and the owner.
-func connect(t *testing.T, maker *instance) (*Peer, *Client, *instance) {
+func connect(t testing.TB, maker *instance) (*Peer, *Client, *instance) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
