--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
@@ -18,7 +19,10 @@
 		return // the store can't be read, so the owner's silence means nothing
 	}
 	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
-	if silent < limit+succession.ClaimDelay(c.cfg.Cores, c.cfg.Spread) {
+	if c.claim.Released && c.claim.Address == c.cfg.Address {
+		limit = wayPause // for another instance, which reads of it later
+	}
+	if silent < limit+succession.ClaimDelay(c.vm(), c.workersListed(), c.cfg.Spread) {
 		return
 	}
 	c.role = roleClaiming
@@ -127,8 +131,8 @@
 		if s.state.Final() {
 			c.emit(JobSettled{ID: s.job.id})
 		}
-		if s.state.Final() && !s.job.dirty {
-			s.job.releaseIfOver()
+		if s.state.Final() && !s.job.dirty && s.job.releaseIfOver() && slices.Contains(s.job.parts, InProgress) {
+			c.finished = append(c.finished, s.job)
 		}
 	}
 	for w, e := range in.ends {
@@ -166,14 +170,27 @@
 	}
 	c.planned = append(in.planned, c.planned...)
 	c.forgotten = append(in.forgotten, c.forgotten...)
+	c.finished = append(in.finished, c.finished...)
 	c.endsDirty = true
 	if in.release {
 		c.released = false
 	}
 }
 
+// noteFirstStarts lets the next append say that a job has started, unless an end
+// said so meanwhile.
+func (c *Cell) noteFirstStarts() {
+	for len(c.firstStarts) > 0 && c.now.Sub(c.firstStarts[0].at) >= firstStartDelay {
+		if j := c.firstStarts[0].job; j.stored == jobs.Queued {
+			c.markDirty(j)
+		}
+		c.firstStarts = c.firstStarts[1:]
+	}
+}
+
 // flush appends everything that changed, or a heartbeat.
 func (c *Cell) flush() {
+	c.noteFirstStarts()
 	if c.inFlight != nil {
 		c.refuseLateOffers()
 		return
@@ -181,6 +198,9 @@
 	if c.released || c.storeRefuses && c.now.Sub(c.lastSent) < refusedRetry {
 		return
 	}
+	if c.now.Sub(c.lastSent) < c.pace.Batching() {
+		return
+	}
 	beat := c.now.Sub(c.lastSent) >= heartbeatInterval
 	if len(c.dirty) == 0 && len(c.offered) == 0 && len(c.planned) == 0 && !c.endsDirty && !beat && !c.wantsRelease() {
 		return
@@ -201,6 +221,12 @@
 		a.Entries = append(a.Entries, Entry{Key: key})
 	}
 	in.forgotten, c.forgotten = c.forgotten, nil
+	for _, j := range c.finished {
+		if c.jobs[j.id] == j {
+			a.Entries = append(a.Entries, Entry{Key: jobs.JobKey(j.id), Value: jobs.Encode(j.remains())})
+		}
+	}
+	in.finished, c.finished = c.finished, nil
 	for _, w := range c.list {
 		if w.seenEnd > w.durableEnd {
 			in.ends[w] = endMark{boot: w.boot, seq: w.seenEnd}
@@ -223,14 +249,16 @@
 // wantsRelease reports whether the owner gives the cell up.
 func (c *Cell) wantsRelease() bool { return c.draining || c.makesWay }
 
-// considerWay gives the cell up if another instance has the processor that its
-// owner needs and this one has not.
+// considerWay gives the cell up if another instance has the processor and the
+// link that its owner needs and this one has not.
 func (c *Cell) considerWay() {
 	if c.makesWay || c.draining {
 		return
 	}
+	own, workers := c.vm(), c.workersListed()
 	for _, a := range c.advisorList {
-		if a.up && succession.MakesWay(c.cfg.Cores, a.cores, c.now.Sub(c.ownerSince), c.now.Sub(a.upSince)) {
+		other := succession.VM{Cores: a.cores, Bandwidth: a.bandwidth}
+		if a.up && succession.MakesWay(own, other, workers, c.now.Sub(c.ownerSince), c.now.Sub(a.upSince)) {
 			c.makesWay = true
 			c.log("owner makes way", "", Fields{Epoch: c.epoch, Reason: a.name, Age: c.now.Sub(a.upSince)})
 			return
@@ -238,6 +266,21 @@
 	}
 }
 
+// vm returns what this instance has of what an owner needs.
+func (c *Cell) vm() succession.VM {
+	return succession.VM{Cores: c.cfg.Cores, Bandwidth: c.cfg.Bandwidth}
+}
+
+// workersListed returns the number of workers that the directory has.
+func (c *Cell) workersListed() (n int) {
+	for _, w := range c.list {
+		if w.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // snapshot returns the entry that describes a job.
 func (j *job) snapshot() *jobs.Progress {
 	p := &jobs.Progress{State: j.state, FinishedMs: j.finished}
@@ -252,6 +295,12 @@
 	return p
 }
 
+// remains returns what is kept of a submission once nothing is left to be done
+// for it, so that those who load the cell read little of finished jobs.
+func (j *job) remains() jobs.Job {
+	return jobs.Job{ID: j.id, Queue: j.queue, SubmittedMs: j.submitted}
+}
+
 func (g *group) snapshot() *jobs.GroupProgress {
 	gp := &jobs.GroupProgress{Occurrence: g.occurrence, Step: g.index, Run: g.run, Failures: g.failures, FailedRun: g.failedRun}
 	touched := g.run > 0 || g.doneCount > 0
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -231,16 +231,18 @@
 	resort       bool
 	rankedAt     model.Time
 	pace         *pacing.Pacer
+	slowedAt     model.Time         // newest line about calls that are slowed
 	held         int                // bytes of starts that the last pass held back
 	asking       int                // eligibility calls in flight
 	reserved     map[*worker]*group // for gangs that wait
 	reservations int                // gangs that workers are reserved for in this pass
 	dirty        []*job
-	offered      []Entry  // submissions and cancellations for the next append
-	offers       []uint64 // tickets of offered
-	newJobs      []*job   // among offered
-	cancelled    []*job   // by offers
-	commit       uint64   // number of the append in flight, or of the last one
+	firstStarts  []firstStart // that may not be in an append yet, the oldest first
+	offered      []Entry      // submissions and cancellations for the next append
+	offers       []uint64     // tickets of offered
+	newJobs      []*job       // among offered
+	cancelled    []*job       // by offers
+	commit       uint64       // number of the append in flight, or of the last one
 	inFlight     *commit
 	lastSent     model.Time
 	planned      []*placement // to be in the next append
@@ -253,6 +255,7 @@
 	endsDirty     bool // workers listed ends that are not in an append yet
 	forgetAt      model.Time
 	forgotten     []string // keys that the next append removes
+	finished      []*job   // whose submissions the next append shortens
 
 	advisors map[string]*advisor
 	// advisorList holds all advisors, this instance first.
@@ -273,6 +276,7 @@
 	ends      map[*worker]endMark
 	release   bool
 	forgotten []string
+	finished  []*job
 }
 
 // endMark names the newest end of one life of a worker that an append covers.
@@ -281,6 +285,12 @@
 	seq  int64
 }
 
+// firstStart is when the first run of a job was confirmed.
+type firstStart struct {
+	job *job
+	at  model.Time
+}
+
 // jobState is a job's state in an append.
 type jobState struct {
 	job   *job
@@ -360,6 +370,10 @@
 // OwnerAge returns how long ago the owner was last known to act.
 func (c *Cell) OwnerAge(now model.Time) time.Duration { return now.Sub(c.ownerSeen) }
 
+// Gathering returns for how long an owner is to gather events before its next
+// step.
+func (c *Cell) Gathering() time.Duration { return c.pace.Batching() / 2 }
+
 // Jobs returns the number of jobs known.
 func (c *Cell) Jobs() int { return len(c.jobs) }
 
