A failed eligibility call is made by another instance; takeover is not later

The instance that is kept for quick calls was asked again after each failure (TestFailedEligibilityCallGoesElsewhere failed). The time for which a link without answers is kept goes by entries of the last 550 ms, so that an owner that is gone is noticed sooner.

--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -80,6 +80,9 @@
 // at the workers that are known to be eligible.
 const askRetry = 150 * time.Millisecond
 
+// advisorRest is how long an instance whose call failed comes after the others.
+const advisorRest = time.Second
+
 // maxAskDoublings bounds the growth of that pause while calls fail.
 const maxAskDoublings = 3
 
@@ -180,7 +183,10 @@
 	c.asking--
 	if a := c.advisors[e.Advisor]; a != nil && a.calls > 0 {
 		a.calls--
-		if a.calls == 0 {
+		switch {
+		case e.Failed:
+			a.freeFrom = c.now.Add(advisorRest) // others go first
+		case a.calls == 0:
 			a.freeFrom = c.now
 		}
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -23,8 +23,9 @@
 	// 5 s after which callers may expect a job to be counted.
 	oldestCount = 4500 * time.Millisecond
 	// ownerActs is the age of an owner's newest entry up to which it counts as
-	// acting. It covers the pause between reads and a heartbeat.
-	ownerActs = 700 * time.Millisecond
+	// acting. It covers the pause between reads and most pauses between entries. A
+	// longer one would make the takeover from an owner that is gone later.
+	ownerActs = 550 * time.Millisecond
 	// storeSilence is how long the store may be out of reach before the instance
 	// asks the balancer for no more connections. It is above the pause between
 	// reads and the time of one from a store that is sixty times slower.
