--- a/internal/cell/calls_test.go
+++ b/internal/cell/calls_test.go
@@ -129,3 +129,28 @@
 		is.True(!started)
 	}
 }
+
+// An instance that was cut off from the eligibility service failed its calls at once,
+// was free before all others, and so was asked again each time.
+func TestFailedEligibilityCallGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 8)
+	c := n.cell
+	id := jobs.ID("00000000000000aa")
+	c.Step(s.now, AdvisorChanged{Name: "vm-8", Up: true}, AdvisorChanged{Name: "vm-9", Up: true})
+	now := s.now.Add(TickInterval)
+	out := c.Step(now, JobAdded{Job: jobs.Job{ID: id, Queue: "urgent", Steps: []jobs.Step{{Tasks: 2, Need: cores(1), EstimateMs: 500}}}})
+	asked := map[string]int{}
+	for range 4 {
+		for _, e := range out {
+			if a, ok := e.(Ask); ok {
+				asked[a.Advisor]++
+				now = now.Add(10 * time.Millisecond)
+				c.Step(now, EligibilityAnswered{Advisor: a.Advisor, Job: id, Asked: a.Workers, Failed: true})
+			}
+		}
+		now = now.Add(askRetry << maxAskDoublings)
+		out = c.Step(now, Tick{StoreAnswered: now})
+	}
+	is.True(len(asked) > 1)
+}
