--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -81,7 +81,8 @@
 const askRetry = 150 * time.Millisecond
 
 // advisorRest is how long an instance whose call failed comes after the others.
-const advisorRest = time.Second
+// It is above the longest pause between calls for one group.
+const advisorRest = 2 * time.Second
 
 // maxAskDoublings bounds the growth of that pause while calls fail.
 const maxAskDoublings = 3
