A slowed large VM keeps more than four calls under way

The limit follows the times of answers down to 4 KB. A VM that is slowed itself answers late whatever is under way, and stayed there (TestLargeVMsKeepSomeCalls).

--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -47,8 +47,12 @@
 	// growBytes is added at least, so that a small limit recovers soon.
 	growBytes = 1000
 	// minLimit lets a few calls through whatever the answers say, since only
-	// answers tell that the way is free again.
-	minLimit = 4 << 10
+	// answers tell that the way is free again; floorShare of the first limit, up to
+	// maxFloor, lets a VM that is slowed itself go on. The last is in a tenth of a
+	// second on 2 Mbit/s.
+	minLimit   = 4 << 10
+	floorShare = 0.25
+	maxFloor   = 16 << 10
 	// maxLimit is above what bursts on sites with wide links need, and in a
 	// tenth of a second on 40 Mbit/s.
 	maxLimit = 512 << 10
@@ -106,6 +110,7 @@
 // Pacer is the state of the decision. It is not safe for concurrent use.
 type Pacer struct {
 	limit   float64 // bytes that may be under way
+	floor   float64 // of limit
 	under   int     // bytes of calls under way
 	planned int     // bytes of starts to be sent
 	delay   time.Duration
@@ -132,8 +137,9 @@
 	if cores > 0 {
 		rate = min(rate, cores*coreRate)
 	}
+	limit := max(rate*initialQueue.Seconds(), minLimit)
 	return &Pacer{
-		limit: max(rate*initialQueue.Seconds(), minLimit), backoff: 1,
+		limit: limit, floor: min(max(floorShare*limit, minLimit), maxFloor), backoff: 1,
 		starts: map[int]int{}, rate: rate, shares: map[int]float64{},
 	}
 }
@@ -205,7 +211,7 @@
 func (p *Pacer) judge(now model.Time) {
 	switch {
 	case p.slow > p.quick:
-		p.limit = max(p.limit*shrink, minLimit)
+		p.limit = max(p.limit*shrink, p.floor)
 		p.backoff = min(2*p.backoff, maxBackoff)
 	case p.quick > p.slow:
 		p.backoff = max(p.backoff/2, 1)
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -275,3 +275,17 @@
 	is.Equal(p.Room(0), 0)
 	is.True(p.StartAllowed()) // nothing is under way
 }
+
+// A large VM that ran several times slower answered late whatever was under way,
+// and was left with four calls at a time.
+func TestLargeVMsKeepSomeCalls(t *testing.T) {
+	is := is.New(t)
+	p := New(25_000_000, 0.8)
+	now := start
+	for range 2000 {
+		now = now.Add(5 * time.Millisecond)
+		p.Add(1000)
+		p.Answered(now, 1000, 300*time.Millisecond, true)
+	}
+	is.True(p.Limit() >= 15_000)
+}
