The wait of a claim begins with the suspicion

The waits were counted from the owner's newest entry. The loss of a silent link is noticed 0.7 to 1.1 s after that, when all waits (0.4 s and up to 0.6 s) are over, so that VMs of 0.19 core claimed beside those of 0.8 and often won; at the start of a cell they always did. The wait now begins when the owner's silence passes the patience with it, and an instance without enough waits 0.3 s more, which covers the moments at which instances notice.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -123,6 +123,52 @@
 	is.Equal(s.wrong, nil)
 }
 
+// The waits of claims were counted from the owner's newest entry. Where its
+// silence or the loss of the link was noticed later than that, all waits were
+// over, and a VM with little processor claimed beside the others.
+func TestWaitOfClaimBeginsWithSuspicion(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		s := newSim(seed, 0, 4)
+		weak := []*simNode{s.addNode(0.2), s.addNode(0.2), s.addNode(0.2)}
+		strong := []*simNode{s.addNode(0.8), s.addNode(0.8)}
+		s.run(2 * time.Second)
+		owns := func() *simNode {
+			for _, n := range strong {
+				if n.owner {
+					return n
+				}
+			}
+			return nil
+		}
+		first := owns()
+		is.True(first != nil) // of a new cell
+		for _, n := range append(weak, strong...) {
+			n.send(n.life, LinkChanged{Up: true})
+		}
+		first.kill()
+		s.run(900 * time.Millisecond)
+		for _, n := range append(weak, strong...) {
+			if n != first {
+				n.send(n.life, LinkChanged{}) // noticed by all at the same moment
+			}
+		}
+		s.run(time.Second)
+		second := owns()
+		is.True(second != nil && second != first)
+		for _, n := range append(weak, strong...) {
+			if n != first {
+				n.send(n.life, LinkChanged{Up: true})
+			}
+		}
+		s.run(time.Second)
+		is.True(second.owner)
+		for _, n := range weak {
+			is.True(!n.owner)
+		}
+	}
+}
+
 // The end of a run that was stopped was logged with the time since the stop, so
 // that the log did not show how much work was lost.
 func TestAgeOfStoppedRun(t *testing.T) {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -11,14 +11,20 @@
 // sign of life. A mistaken suspicion does no harm: the claim is conditional on
 // the end of the progress stream, which a live owner moves with each heartbeat.
 func (c *Cell) considerClaim() {
-	if c.draining || c.config == nil || c.now < c.tryAt || c.streamAt == 0 {
+	if c.draining || c.config == nil || c.streamAt == 0 {
 		return
 	}
-	if c.now.Sub(c.streamAt) > readFresh {
-		return // the store can't be read, so the owner's silence means nothing
+	silent := c.now.Sub(c.ownerSeen)
+	if silent < c.patience() || c.now.Sub(c.streamAt) > readFresh {
+		// If the store can't be read, the owner's silence means nothing.
+		c.suspectedAt = 0
+		return
+	}
+	if c.suspectedAt == 0 {
+		c.suspectedAt = c.now
 	}
-	silent, limit := c.now.Sub(c.ownerSeen), c.patience()
-	if silent < limit+succession.ClaimDelay(c.vm(), c.workersListed(), c.cfg.Spread) {
+	wait := succession.ClaimDelay(c.vm(), c.workersListed(), c.cfg.Spread)
+	if c.now < c.tryAt || c.now.Sub(c.suspectedAt) < wait {
 		return
 	}
 	c.role = roleClaiming
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -210,20 +210,23 @@
 	list    []*worker // all workers by name
 	health  *health.State
 
-	role       role
-	epoch      int64
-	maxEpoch   int64
-	claim      jobs.Claim // newest one
-	ownerSeen  model.Time // newest entry of the owner
-	streamEnd  int64
-	streamAt   model.Time // sending time of the newest complete read
-	linkUp     bool
-	ownerGone  bool       // the owner has certainly ended
-	tryAt      model.Time // no claim before
-	draining   bool
-	evidence   model.Time // when this instance last certainly was the owner
-	ownerSince model.Time
-	settled    bool // owner that knows every job
+	role      role
+	epoch     int64
+	maxEpoch  int64
+	claim     jobs.Claim // newest one
+	ownerSeen model.Time // newest entry of the owner
+	streamEnd int64
+	streamAt  model.Time // sending time of the newest complete read
+	linkUp    bool
+	ownerGone bool       // the owner has certainly ended
+	tryAt     model.Time // no claim before
+	// suspectedAt is when the owner's silence passed the patience with it; zero
+	// if it did not.
+	suspectedAt model.Time
+	draining    bool
+	evidence    model.Time // when this instance last certainly was the owner
+	ownerSince  model.Time
+	settled     bool // owner that knows every job
 
 	ready        []*group        // groups with pending tasks, in order of rank after a sort
 	changed      bool            // something happened that may let a waiting group be placed
--- a/internal/policy/succession/succession.go
+++ b/internal/policy/succession/succession.go
@@ -21,12 +21,13 @@
 	// spread separates the claims of equal instances that suspect the owner at
 	// the same time.
 	spread = 150 * time.Millisecond
-	// weak is added for an instance that has not enough. It covers the spread, so
-	// that one that has enough goes first.
-	weak = spread
+	// weak is added for an instance that has not enough. It covers the spread, and
+	// as much again by which instances notice the owner's end at different
+	// moments, so that one that has enough goes first.
+	weak = 2 * spread
 	// weakest is added on top for the smallest instances. The sum of the three
 	// stays below the slack of urgent work, 600 ms.
-	weakest = 290 * time.Millisecond
+	weakest = 140 * time.Millisecond
 	// settle is how long a weak owner, and the link to an instance with enough,
 	// must have lasted for the owner to make way. It bounds the changes of owner
 	// while instances restart in turn.
@@ -48,8 +49,8 @@
 	return min(max(s, 0), 1)
 }
 
-// ClaimDelay returns how long an instance waits with its claim once the owner
-// is gone. Workers is how many the cell has, tie in [0,1) orders equal
+// ClaimDelay returns how long an instance waits with its claim once it suspects
+// the owner. Workers is how many the cell has, tie in [0,1) orders equal
 // instances.
 func ClaimDelay(v VM, workers int, tie float64) time.Duration {
 	d := time.Duration(tie * float64(spread))
