--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -60,7 +60,9 @@
 }
 
 func (c *Cell) jobDropped(id jobs.ID) {
-	if j := c.jobs[id]; j != nil && j.state.Final() {
+	// Of a finished job that was removed while it was being loaded, only the
+	// remains of its submission may be known.
+	if j := c.jobs[id]; j != nil && (j.state.Final() || len(j.steps) == 0) {
 		delete(c.jobs, id)
 	}
 	delete(c.cancels, id)
@@ -99,14 +101,16 @@
 }
 
 // releaseIfOver releases a finished job that has no runs left. While it has,
-// their room is taken.
-func (j *job) releaseIfOver() {
+// their room is taken. It returns true if it released something.
+func (j *job) releaseIfOver() bool {
 	for _, g := range j.groups {
 		if g.placed > 0 {
-			return
+			return false
 		}
 	}
+	held := len(j.steps) > 0
 	j.release()
+	return held
 }
 
 func (c *Cell) claimRead(claim jobs.Claim) {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
@@ -38,6 +39,8 @@
 // patience returns how long the owner may be silent.
 func (c *Cell) patience() time.Duration {
 	switch {
+	case c.claim.Released && c.claim.Address == c.cfg.Address:
+		return wayPause // for another instance, which reads of it later
 	case c.claim.Epoch == 0 || c.claim.Released || c.ownerGone:
 		return 0
 	case c.linkUp:
@@ -133,8 +136,8 @@
 		if s.state.Final() {
 			c.emit(JobSettled{ID: s.job.id})
 		}
-		if s.state.Final() && !s.job.dirty {
-			s.job.releaseIfOver()
+		if s.state.Final() && !s.job.dirty && s.job.releaseIfOver() && slices.Contains(s.job.parts, InProgress) {
+			c.finished = append(c.finished, s.job)
 		}
 	}
 	for w, e := range in.ends {
@@ -151,9 +154,7 @@
 		c.emit(Reload{Reason: "released"})
 		return
 	}
-	for _, p := range in.planned {
-		c.startPlaced(p)
-	}
+	c.stored = append(c.stored, in.planned...)
 }
 
 // takeBack makes what a refused append would have stored part of the next one.
@@ -172,14 +173,27 @@
 	}
 	c.planned = append(in.planned, c.planned...)
 	c.forgotten = append(in.forgotten, c.forgotten...)
+	c.finished = append(in.finished, c.finished...)
 	c.endsDirty = true
 	if in.release {
 		c.released = false
 	}
 }
 
+// noteFirstStarts lets the next append say that a job has started, unless an end
+// said so meanwhile.
+func (c *Cell) noteFirstStarts() {
+	for len(c.firstStarts) > 0 && c.now.Sub(c.firstStarts[0].at) >= firstStartDelay {
+		if j := c.firstStarts[0].job; j.stored == jobs.Queued {
+			c.markDirty(j)
+		}
+		c.firstStarts = c.firstStarts[1:]
+	}
+}
+
 // flush appends everything that changed, or a heartbeat.
 func (c *Cell) flush() {
+	c.noteFirstStarts()
 	if c.inFlight != nil {
 		c.refuseLateOffers()
 		return
@@ -187,6 +201,9 @@
 	if c.released || c.storeRefuses && c.now.Sub(c.lastSent) < refusedRetry {
 		return
 	}
+	if c.now.Sub(c.lastSent) < c.pace.Batching() {
+		return
+	}
 	beat := c.now.Sub(c.lastSent) >= heartbeatInterval
 	if len(c.dirty) == 0 && len(c.offered) == 0 && len(c.planned) == 0 && !c.endsDirty && !beat && !c.wantsRelease() {
 		return
@@ -207,6 +224,12 @@
 		a.Entries = append(a.Entries, Entry{Key: key})
 	}
 	in.forgotten, c.forgotten = c.forgotten, nil
+	for _, j := range c.finished {
+		if c.jobs[j.id] == j {
+			a.Entries = append(a.Entries, Entry{Key: jobs.JobKey(j.id), Value: jobs.Encode(j.remains())})
+		}
+	}
+	in.finished, c.finished = c.finished, nil
 	for _, w := range c.list {
 		if w.seenEnd > w.durableEnd {
 			in.ends[w] = endMark{boot: w.boot, seq: w.seenEnd}
@@ -275,6 +298,12 @@
 	return p
 }
 
+// remains returns what is kept of a submission once nothing is left to be done
+// for it, so that those who load the cell read little of finished jobs.
+func (j *job) remains() jobs.Job {
+	return jobs.Job{ID: j.id, Queue: j.queue, SubmittedMs: j.submitted}
+}
+
 func (g *group) snapshot() *jobs.GroupProgress {
 	gp := &jobs.GroupProgress{Occurrence: g.occurrence, Step: g.index, Run: g.run, Failures: g.failures, FailedRun: g.failedRun}
 	touched := g.run > 0 || g.doneCount > 0
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -29,18 +29,18 @@
 		case cell.Renew:
 			go func() {
 				sent := n.deps.Now()
-				r := n.deps.Workers.Renew(l.ctx, e)
+				r := n.dispatch.Renew(l.ctx, e)
 				r.SentAt, r.Peek, r.Call = sent, e.Peek, e.Call
 				n.send(l, r)
 			}()
 		case cell.Start:
 			go func() {
-				v := n.deps.Workers.Start(l.ctx, e)
+				v := n.dispatch.Start(l.ctx, e)
 				n.send(l, cell.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v, Call: e.Call})
 			}()
 		case cell.Stop:
 			go func() {
-				v := n.deps.Workers.Stop(l.ctx, e)
+				v := n.dispatch.Stop(l.ctx, e)
 				n.send(l, cell.StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: v, Call: e.Call})
 			}()
 		case cell.Ask:
@@ -173,7 +173,7 @@
 func (n *Node) ask(l *life, a cell.Ask) {
 	ctx, cancel := context.WithTimeout(l.ctx, 2*a.Cost+askMargin)
 	defer cancel()
-	r := link.AskRequest{Job: a.Job, Step: a.Step, Occur: a.Occur, Workers: a.Workers}
+	r := link.AskRequest{Job: a.Job, Step: a.Step, Occur: a.Occur, Workers: a.Workers, WithinMs: (2*a.Cost + askMargin).Milliseconds()}
 	var reply link.AskReply
 	var err error
 	if a.Advisor == n.self {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -87,7 +87,10 @@
 		p, err := f.n.deps.Store.Newest(ctx, f.stream, after)
 		if err != nil {
 			f.fail(ctx, err)
-			return false
+			if ctx.Err() != nil {
+				return false
+			}
+			continue // the pages before need not be read again
 		}
 		f.succeed()
 		if end < 0 {
@@ -259,6 +262,7 @@
 	}
 	n.mu.Lock()
 	n.workers[name] = info
+	n.dispatch.workers.Store(int64(len(n.workers)))
 	n.mu.Unlock()
 	n.post(cell.WorkerListed{Info: info})
 }
@@ -267,6 +271,7 @@
 	n.mu.Lock()
 	_, known := n.workers[name]
 	delete(n.workers, name)
+	n.dispatch.workers.Store(int64(len(n.workers)))
 	n.mu.Unlock()
 	if known {
 		n.post(cell.WorkerUnlisted{Name: name})
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -26,9 +26,10 @@
 
 const (
 	// slowAfter is the time to an answer from which on a call has waited behind
-	// others. Workers answer within milliseconds; the rest of it covers an instance
-	// of an eighth of a core, and it is well below the slack of urgent work.
-	slowAfter = 80 * time.Millisecond
+	// others. Workers answer within milliseconds; the rest of it covers the way
+	// through an instance of an eighth of a core, and it is below the timeout of a
+	// start and the slack of urgent work.
+	slowAfter = 150 * time.Millisecond
 	// initialQueue is the time in which the link sends the first limit, and the
 	// processor works it off.
 	initialQueue = 50 * time.Millisecond
@@ -37,8 +38,9 @@
 	coreRate = 1_500_000
 	// period is the time after which the limit is judged.
 	period = 100 * time.Millisecond
-	// minSlow is the number of slow answers in a period that says anything.
-	minSlow = 3
+	// minAnswers is the number of answers that says anything. A period lasts until
+	// there are as many.
+	minAnswers = 3
 	// shrink and grow change the limit; growth is slower, so that it settles.
 	shrink = 0.7
 	grow   = 1.1
@@ -55,6 +57,11 @@
 	askShare = 1000
 	// minAsks lets the usual work of a small site through.
 	minAsks = 16
+	// maxAhead bounds how many times the limit may be planned while a slow store
+	// takes the placements.
+	maxAhead = 8
+	// minLost lets a few of the workers that do not answer be asked at a time.
+	minLost = 8
 	// stopShare times the limit may be under way with stops, which free room and
 	// must not wait behind starts.
 	stopShare = 2
@@ -75,14 +82,20 @@
 	maxSpacing = 400 * time.Millisecond
 	// rateWeight is the weight of one period in the rate.
 	rateWeight = 0.2
-	// sustained is how long work must have been held back for the rate to be that
-	// of the instance and not of a moment.
-	sustained = 500 * time.Millisecond
+	// batchPart of the usual delay is spent on gathering, up to maxBatching.
+	batchPart   = 8
+	maxBatching = 20 * time.Millisecond
 	// longestWait is how long work may wait for its turn to be sent. What would
 	// wait longer is better handed in again later.
 	longestWait = 8 * time.Second
+	// longestBacklog is how long all accepted work may take to be sent before urgent
+	// work is held to its share. Callers expect accepted work to have begun within
+	// 14 s of the last submission.
+	longestBacklog = 10 * time.Second
 	// leastShare of the rate is left for any work: urgent work comes in waves.
 	leastShare = 0.1
+	// urgentShare is what urgent work gets while other accepted work waits.
+	urgentShare = 0.5
 	// retryShare of the expected wait is when a caller should come back: by then
 	// a good part of what was ahead is gone, and others come back as well.
 	retryShare = 0.5
@@ -93,38 +106,50 @@
 // Pacer is the state of the decision. It is not safe for concurrent use.
 type Pacer struct {
 	limit   float64 // bytes that may be under way
-	under   int     // bytes of calls under way and of placements to be sent
+	under   int     // bytes of calls under way
+	planned int     // bytes of starts to be sent
 	delay   time.Duration
 	backoff time.Duration // factor of timeouts
 	began   model.Time    // of the period
 	quick   int           // answers in the period
 	slow    int
-	full    bool // the limit was reached in the period
-	held    model.Time
-	// starts and rates are the bytes of starts that were added in the period, and a
-	// second while calls reached the limit, by priority.
-	starts map[int]int
-	rates  map[int]float64
+	full    bool        // the limit was reached in the period
+	held    bool        // work was held back
+	starts  map[int]int // bytes of starts that were added in the period, by priority
+	// rate is the bytes of starts a second while calls reach the limit, and shares
+	// that of each priority.
+	rate   float64
+	shares map[int]float64
 }
 
 // New returns the state of an instance whose link has a rate in bytes a second,
 // and that has a number of cores; zero if they are not known.
 func New(bandwidth int64, cores float64) *Pacer {
-	limit := float64(maxLimit)
+	rate := maxLimit / initialQueue.Seconds()
 	if bandwidth > 0 {
-		limit = min(limit, float64(bandwidth)*initialQueue.Seconds())
+		rate = min(rate, float64(bandwidth))
 	}
 	if cores > 0 {
-		limit = min(limit, cores*coreRate*initialQueue.Seconds())
+		rate = min(rate, cores*coreRate)
 	}
-	return &Pacer{limit: max(limit, minLimit), backoff: 1, starts: map[int]int{}, rates: map[int]float64{}}
+	return &Pacer{
+		limit: max(rate*initialQueue.Seconds(), minLimit), backoff: 1,
+		starts: map[int]int{}, rate: rate, shares: map[int]float64{},
+	}
+}
+
+// Room returns how many bytes of starts may be planned, which are sent after an
+// append that usually takes a time.
+func (p *Pacer) Room(appends time.Duration) int {
+	ahead := min(1+float64(appends)/float64(initialQueue), maxAhead)
+	return max(0, int(ahead*p.limit)-p.under-p.planned)
 }
 
-// Room returns how many bytes of starts may be added.
-func (p *Pacer) Room() int { return max(0, int(p.limit)-p.under) }
+// StartAllowed reports whether a start that was planned may be sent.
+func (p *Pacer) StartAllowed() bool { return p.under < int(p.limit) }
 
 // StopAllowed reports whether a stop may be sent.
-func (p *Pacer) StopAllowed() bool { return p.under < int(stopShare*p.limit) }
+func (p *Pacer) StopAllowed() bool { return p.under+StopCost <= int(stopShare*p.limit) }
 
 // Asks returns how many eligibility calls may be under way. Urgent work may use
 // what other work leaves, whose calls take long.
@@ -136,21 +161,29 @@
 	return n
 }
 
-// Add notes a call that is to be sent.
+// Lost returns how many renewals may be under way to workers that did not answer
+// before. They wait for their timeouts, so that they don't count with the rest.
+func (p *Pacer) Lost() int { return max(minLost, int(p.limit)/RenewCost) }
+
+// Add notes a call that is sent.
 func (p *Pacer) Add(cost int) { p.under += cost }
 
-// AddStart notes a start of work of a priority that is to be sent.
-func (p *Pacer) AddStart(priority, cost int) {
-	p.Add(cost)
+// Plan notes a start that is to be sent.
+func (p *Pacer) Plan(cost int) { p.planned += cost }
+
+// Drop notes that a planned start is not sent after all.
+func (p *Pacer) Drop(cost int) { p.planned -= cost }
+
+// Start notes that a planned start of work of a priority is sent.
+func (p *Pacer) Start(priority, cost int) {
+	p.planned -= cost
+	p.under += cost
 	p.starts[priority] += cost
 }
 
-// Drop notes that a call is not sent after all.
-func (p *Pacer) Drop(cost int) { p.under -= cost }
-
 // Answered notes that a call is over after a time, with or without an answer.
 func (p *Pacer) Answered(now model.Time, cost int, took time.Duration, answer bool) {
-	if p.Room() == 0 {
+	if !p.StartAllowed() {
 		p.full = true
 	}
 	p.under -= cost
@@ -162,7 +195,7 @@
 	} else {
 		p.quick++
 	}
-	if now.Sub(p.began) >= period {
+	if now.Sub(p.began) >= period && p.quick+p.slow >= minAnswers {
 		p.judge(now)
 	}
 }
@@ -171,7 +204,7 @@
 // few workers that do not answer say nothing about the instance.
 func (p *Pacer) judge(now model.Time) {
 	switch {
-	case p.slow > p.quick && p.slow >= minSlow:
+	case p.slow > p.quick:
 		p.limit = max(p.limit*shrink, minLimit)
 		p.backoff = min(2*p.backoff, maxBackoff)
 	case p.quick > p.slow:
@@ -181,32 +214,37 @@
 		}
 	}
 	if p.full {
-		seconds := now.Sub(p.began).Seconds()
-		for priority := range p.starts {
-			p.rates[priority] += 0 // is in the map from now on
-		}
-		for priority, rate := range p.rates {
-			p.rates[priority] += rateWeight * (float64(p.starts[priority])/seconds - rate)
-		}
+		p.measure(now.Sub(p.began))
 	}
 	clear(p.starts)
 	p.began, p.quick, p.slow, p.full = now, 0, 0, false
 }
 
-// Held notes whether work was held back at a time.
-func (p *Pacer) Held(now model.Time, held bool) {
-	switch {
-	case !held:
-		p.held = 0
-	case p.held == 0:
-		p.held = now
+// measure takes the starts of a period in which calls reached the limit into
+// account.
+func (p *Pacer) measure(d time.Duration) {
+	total := 0
+	for priority, bytes := range p.starts {
+		total += bytes
+		p.shares[priority] += 0 // is in the map from now on
+	}
+	if total == 0 {
+		return // other calls were at the limit
+	}
+	p.rate = max(p.rate+rateWeight*(float64(total)/d.Seconds()-p.rate), 1)
+	for priority, share := range p.shares {
+		p.shares[priority] += rateWeight * (float64(p.starts[priority])/float64(total) - share)
 	}
 }
 
+// Held notes whether work is held back.
+func (p *Pacer) Held(held bool) { p.held = held }
+
 // Timeout returns how long an answer is waited for that usually takes up to a
-// time.
+// time. What is under way, a wide gang for one, goes before it.
 func (p *Pacer) Timeout(usual time.Duration) time.Duration {
-	return max(usual, min(p.backoff*max(usual, timeoutFactor*p.delay), maxTimeout))
+	before := time.Duration(float64(p.under) / p.rate * float64(time.Second))
+	return max(usual, min(p.backoff*max(usual, timeoutFactor*p.delay)+before, maxTimeout))
 }
 
 // Spacing returns the pause between renewals at one worker.
@@ -217,25 +255,51 @@
 	return min(spacingFactor*p.delay, maxSpacing)
 }
 
-// Overloaded reports whether work of a priority must be refused that would be
-// sent after ahead bytes, and when its caller should come back. More urgent work
-// that comes meanwhile goes first as well.
-func (p *Pacer) Overloaded(now model.Time, priority, ahead int) (bool, time.Duration) {
-	if p.held == 0 || now.Sub(p.held) < sustained || len(p.rates) == 0 {
+// Batching returns for how long work for the store and for workers is gathered
+// before it is sent. A busy instance sends fewer and larger messages.
+func (p *Pacer) Batching() time.Duration {
+	if p.delay < slowAfter/4 {
+		return 0
+	}
+	return min(p.delay/batchPart, maxBatching)
+}
+
+// Backlog is the work that waits for its turn to be sent, in bytes of starts.
+type Backlog struct {
+	Ahead int // goes before the work in question, itself included
+	All   int
+	// Useful is how long the work in question may wait and still be of use.
+	Useful time.Duration
+}
+
+// Overloaded reports whether work of a priority must be refused, and when its
+// caller should come back. More urgent work that comes meanwhile goes first as
+// well. While other work that was accepted waits for too long, any priority and
+// those above it get half of the rate, so that all that was accepted ends.
+func (p *Pacer) Overloaded(priority int, b Backlog) (bool, time.Duration) {
+	if !p.held {
 		return false, 0
 	}
-	all, left := 0.0, 0.0
-	for other, rate := range p.rates {
-		all += rate
-		if other >= priority {
-			left += rate
+	above, own := 0.0, 0.0 // shares of the rate
+	for other, share := range p.shares {
+		switch {
+		case other < priority:
+			above += share
+		case other == priority:
+			own += share
 		}
 	}
-	wait := time.Duration(float64(ahead) / max(left, leastShare*all, 1) * float64(time.Second))
-	if wait <= longestWait {
+	wait := p.wait(b.Ahead, 1-above)
+	all := p.wait(b.All, 1)
+	if wait <= min(longestWait, b.Useful) && (all <= longestBacklog || above+own <= urgentShare) {
 		return false, 0
 	}
-	return true, min(max(time.Duration(retryShare*float64(wait)), minRetry), maxRetry)
+	return true, min(max(time.Duration(retryShare*float64(max(wait, all))), minRetry), maxRetry)
+}
+
+// wait returns how long it takes to send bytes at a share of the rate.
+func (p *Pacer) wait(bytes int, share float64) time.Duration {
+	return time.Duration(float64(bytes) / (p.rate * max(share, leastShare)) * float64(time.Second))
 }
 
 // Limit returns the bytes that may be under way.
