A lost link is seen when nothing shows the owner, not at the end of a ping

Instances judged a silent link only when a ping of 250 ms ended, 400 ms apart, and kept it if an entry of the owner was younger than 550 ms at that moment. Late answers to pings were not counted either.

A ping now waits for its answer, however late, and is given up as soon as it is 250 ms old, nothing is heard, and the owner's newest entry is too old. The bound of 1 s for an owner that acts stays, and holds to the millisecond.

Test: the link is lost 803 ms after the owner fell silent instead of within 600, and after 1,203 ms instead of within 1,150; an owner that answered each ping after 400 ms lost the link. Now 451 and 1,001 ms, and the link stays.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -33,6 +33,9 @@
 	// busy one answers late; a new connection would only add to its work. It bounds
 	// the time for which a silent connection is kept.
 	maxSilence = time.Second
+	// lookInterval is how often a ping that is late is judged. It is a small part of
+	// the differences between the claims of unlike instances.
+	lookInterval = 25 * time.Millisecond
 	// writeTimeout bounds a write to a peer that does not read.
 	writeTimeout = time.Second
 	// redialPause separates attempts to reach the owner.
@@ -466,17 +469,43 @@
 			return ctx.Err()
 		case <-time.After(pingInterval):
 		}
-		asked := c.h.Now()
-		pong, err := callWithin[Pong](ctx, conn, methodPing, struct{}{})
-		switch {
-		case err == nil:
-			answered = time.Now()
+		if err := c.ping(ctx, conn, s, answered.Add(maxSilence)); err != nil {
+			return err
+		}
+		answered = time.Now()
+	}
+}
+
+// ping returns when the owner has answered, however late, or an error once nothing
+// shows that it is there. It looks for that often: instances must not learn of an
+// owner that is gone in the order in which their pings happen to end.
+func (c *Client) ping(ctx context.Context, conn *jsonrpc2.Conn, s *served, until time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	asked := c.h.Now()
+	answered := make(chan error, 1)
+	go func() {
+		pong, err := call[Pong](ctx, conn, methodPing, struct{}{})
+		if err == nil {
 			s.age.note(pong.ClockMs, asked)
-		case s.raw.silence() < pingTimeout:
-			// On a narrow link an answer may be late behind calls to workers.
-		case !errors.Is(err, context.DeadlineExceeded), time.Since(answered) >= maxSilence, !c.h.OwnerActs():
+		}
+		answered <- err
+	}()
+	look := time.NewTimer(pingTimeout)
+	defer look.Stop()
+	for {
+		select {
+		case err := <-answered:
+			if errors.Is(err, context.DeadlineExceeded) && s.raw.silence() < pingTimeout {
+				return nil // on a narrow link an answer may be late behind calls to workers
+			}
 			return err
+		case <-look.C:
+		}
+		if s.raw.silence() >= pingTimeout && !c.h.OwnerActs() {
+			return &CallError{Method: methodPing, Cause: context.DeadlineExceeded}
 		}
+		look.Reset(lookInterval)
 	}
 }
 
