Waiting groups are ranked and passed over at little cost

An owner ranked every waiting group anew whenever one was queued, with two passes over the steps of each one's job, and looked at each in every step, although nothing more could be sent. On a VM of 0.19 core with thousands of waiting groups that took a good part of the processor that its work needs.

The estimates along a job's steps are kept until one of its steps ends. A group that is queued takes its place among those that are ranked already, at most 100 ms ago as before. A pass that can send and ask nothing more only counts the rest.

--- a/internal/cell/asking.go
+++ b/internal/cell/asking.go
@@ -57,7 +57,13 @@
 
 // estimate returns how long a task of a step probably runs.
 func (c *Cell) estimate(j *job, s *jobs.Step) time.Duration {
-	return time.Duration(float64(s.EstimateMs) * c.stats(j.queue).ratio * float64(time.Millisecond))
+	return c.runTime(j, s.EstimateMs)
+}
+
+// runTime returns how long steps of a job probably run whose estimates come to a
+// sum in milliseconds.
+func (c *Cell) runTime(j *job, estimateMs int64) time.Duration {
+	return time.Duration(float64(estimateMs) * c.stats(j.queue).ratio * float64(time.Millisecond))
 }
 
 func (c *Cell) advisorChanged(e AdvisorChanged) {
--- /dev/null
+++ b/internal/cell/backlog_test.go
@@ -0,0 +1,122 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// backlogWorkers is the number of workers of the wide grown sites.
+const backlogWorkers = 350
+
+// backlogCell is an owner of a grown site with little processor, in which many
+// jobs wait.
+type backlogCell struct {
+	*Cell
+	now     model.Time
+	jobs    int
+	answers []Event // to what the owner asked for
+	starts  int
+}
+
+func newBacklogCell(waiting int) *backlogCell {
+	c := &backlogCell{now: model.Time(time.Hour), Cell: New(Config{
+		Name: "cell-0", Self: "vm", Address: "a:1", Lease: simLease, GangWait: time.Second, Retention: time.Minute, Cores: 0.19, Bandwidth: 1_250_000,
+	})}
+	cfg := &jobs.Config{Version: 1}
+	for _, q := range crestQueues {
+		cfg.Queues = append(cfg.Queues, q.Queue)
+	}
+	first := []Event{ConfigChanged{Config: cfg}, AdvisorChanged{Name: "vm", Up: true}}
+	for i := range backlogWorkers {
+		first = append(first, WorkerListed{Info: jobs.WorkerInfo{
+			Name: model.WorkerName(fmt.Sprintf("w%03d", i)), Address: "a:2", Service: "svc", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 32000},
+		}})
+	}
+	for i := range 30 {
+		first = append(first, AdvisorChanged{Name: fmt.Sprintf("vm-%d", i), Up: true})
+	}
+	for range waiting {
+		first = append(first, c.nextJob())
+	}
+	c.step(first...)
+	c.now = c.now.Add(5 * time.Second)
+	c.step(StreamRead{End: 1, SentAt: c.now}, Tick{UnixMs: 1, StoreAnswered: c.now})
+	c.step(Claimed{Epoch: c.maxEpoch, SentAt: c.now, Won: true})
+	c.step(SubmissionsRead{SentAt: c.now})
+	return c
+}
+
+func (c *backlogCell) nextJob() JobAdded {
+	c.jobs++
+	need := model.Resources{MilliCPU: 1000, MemoryMB: 100}
+	return JobAdded{Job: jobs.Job{
+		ID: jobs.ID(fmt.Sprintf("%016x", c.jobs)), Queue: crestQueues[c.jobs%len(crestQueues)].Name, Payload: string(make([]byte, 500)),
+		Steps: []jobs.Step{{Tasks: 5, EstimateMs: 400, Need: need}, {Tasks: 3, EstimateMs: 300, After: []int{0}, Need: need}},
+	}}
+}
+
+// step notes the answers to what the owner asks for.
+func (c *backlogCell) step(events ...Event) {
+	for _, e := range c.Step(c.now, events...) {
+		switch e := e.(type) {
+		case Append:
+			c.answers = append(c.answers, Appended{Commit: e.Commit, SentAt: c.now})
+		case Renew:
+			c.answers = append(c.answers, Renewed{Worker: e.Worker, Verdict: Accepted, Clock: model.WorkerTime(c.now), Boot: 1, SentAt: c.now, Peek: e.Peek, Call: e.Call})
+		case Start:
+			c.starts++
+			c.answers = append(c.answers, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Accepted, Call: e.Call})
+		case Ask:
+			a := EligibilityAnswered{Advisor: e.Advisor, Job: e.Job, Step: e.Step, Occur: e.Occur, Asked: e.Workers, ValidFor: 2500 * time.Millisecond}
+			for _, w := range e.Workers {
+				a.Eligible = append(a.Eligible, Permit{Worker: w, Token: "t"})
+			}
+			c.answers = append(c.answers, a)
+		}
+	}
+}
+
+// second plays a second: every 10 ms the answers come, and one more job.
+func (c *backlogCell) second() {
+	for i := range 100 {
+		c.now = c.now.Add(10 * time.Millisecond)
+		events := append(c.answers, c.nextJob())
+		c.answers = nil
+		if i%5 == 0 {
+			events = append(events, Tick{UnixMs: int64(c.now) / 1e6, StoreAnswered: c.now})
+		}
+		c.step(events...)
+	}
+}
+
+// costOfSecond returns the least time of several that the owner's second takes,
+// and the starts that it sends.
+func costOfSecond(waiting int) (time.Duration, int) {
+	least, starts := time.Hour, 0
+	for range 8 {
+		c := newBacklogCell(waiting)
+		c.second()
+		before, begin := c.starts, time.Now()
+		c.second()
+		least, starts = min(least, time.Since(begin)), c.starts-before
+	}
+	return least, starts
+}
+
+// Guards against an owner that spends its processor on what waits: what it sends
+// is less then, and more waits. At least half has to be left for its work.
+func TestWaitingWorkCostsLessThanWork(t *testing.T) {
+	is := is.New(t)
+	few, starts := costOfSecond(100)
+	many, same := costOfSecond(3000)
+	t.Logf("a second takes %v with 100 waiting jobs and %v with 3,000; %d starts", few, many, starts)
+	is.True(starts > 500)
+	is.Equal(starts, same)
+	is.True(many <= 2*few)
+}
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -116,7 +116,8 @@
 	if !g.queued && g.pending > 0 {
 		g.queued = true
 		c.ready = append(c.ready, g)
-		c.resort, c.changed = true, true
+		c.unranked++
+		c.changed = true
 	}
 }
 
@@ -224,6 +225,7 @@
 	t.state = taskDone
 	g.doneCount++
 	if g.finished() {
+		g.job.stepsDone++
 		c.enqueueGroups(g.job)
 	}
 	c.markDirty(g.job)
--- a/internal/cell/offers.go
+++ b/internal/cell/offers.go
@@ -45,7 +45,7 @@
 		return b
 	}
 	newcomer := &job{queue: n.Queue, steps: n.Steps, schedule: n.Schedule, arrived: c.now}
-	chain := c.chain(newcomer, 0, false)
+	chain := c.runTime(newcomer, newcomer.longestChain(0, false))
 	in := c.rankInput(newcomer, c.now, chain, chain)
 	own := rank.Key(c.now, in)
 	b.Useful = rank.LateFactor*in.Objective() - chain
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -45,7 +45,12 @@
 	c.reservations, c.held = 0, 0
 	kept := c.ready[:0]
 	for _, g := range c.ready {
-		if g.pending > 0 && !g.job.state.Final() {
+		switch {
+		case g.pending == 0 || g.job.state.Final():
+		case c.held > askAhead*c.pace.Limit() && c.pace.Room(c.usualAppend) == 0:
+			// Nothing more can be sent or asked in this pass, and thousands may wait.
+			c.held += g.pending * startCost(len(g.job.payload))
+		default:
 			c.placeGroup(g)
 		}
 		if g.pending > 0 && !g.job.state.Final() {
@@ -77,15 +82,44 @@
 	}
 }
 
+// sortReady brings the waiting groups in the order of their rank. In between,
+// only those that were queued since take their places.
 func (c *Cell) sortReady() {
 	if !c.resort && c.now.Sub(c.rankedAt) < rankInterval {
+		c.insertUnranked()
 		return
 	}
-	c.resort, c.rankedAt = false, c.now
-	for _, g := range c.ready {
+	c.resort, c.rankedAt, c.unranked = false, c.now, 0
+	c.sortByRank(c.ready)
+}
+
+// insertUnranked merges the groups that were queued since the last sort into the
+// others.
+func (c *Cell) insertUnranked() {
+	if c.unranked == 0 {
+		return
+	}
+	at := len(c.ready) - c.unranked - 1 // the last one in order
+	added := slices.Clone(c.ready[at+1:])
+	c.unranked = 0
+	c.sortByRank(added)
+	for to := len(c.ready) - 1; len(added) > 0; to-- {
+		last := added[len(added)-1]
+		if at >= 0 && c.ready[at].rank > last.rank {
+			c.ready[to] = c.ready[at]
+			at--
+			continue
+		}
+		c.ready[to] = last
+		added = added[:len(added)-1]
+	}
+}
+
+func (c *Cell) sortByRank(groups []*group) {
+	for _, g := range groups {
 		g.rank = rank.Key(c.now, c.groupRank(g))
 	}
-	slices.SortStableFunc(c.ready, func(a, b *group) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortStableFunc(groups, func(a, b *group) int { return cmp.Compare(a.rank, b.rank) })
 }
 
 // groupRank returns what orders a group.
@@ -94,7 +128,13 @@
 	if due := g.job.schedule.Due(g.occurrence); due != 0 {
 		arrived = g.readyAt
 	}
-	return c.rankInput(g.job, arrived, c.chain(g.job, g.occurrence, false), c.chain(g.job, g.occurrence, true))
+	if k := &g.chains; !k.known || k.stepsDone != g.job.stepsDone {
+		*k = chains{
+			known: true, stepsDone: g.job.stepsDone,
+			all: g.job.longestChain(g.occurrence, false), toRun: g.job.longestChain(g.occurrence, true),
+		}
+	}
+	return c.rankInput(g.job, arrived, c.runTime(g.job, g.chains.all), c.runTime(g.job, g.chains.toRun))
 }
 
 func (c *Cell) rankInput(j *job, arrived model.Time, chain, remaining time.Duration) rank.Input {
@@ -105,18 +145,18 @@
 	}
 }
 
-// chain returns the time of the longest chain of steps of one occurrence, or
-// of its unfinished ones.
-func (c *Cell) chain(j *job, occurrence int, unfinished bool) time.Duration {
-	var ends [16]time.Duration
+// longestChain returns the estimate of the longest chain of steps of one
+// occurrence, or of its unfinished ones, in milliseconds.
+func (j *job) longestChain(occurrence int, unfinished bool) int64 {
+	var ends [16]int64
 	all := ends[:0]
-	longest := time.Duration(0)
+	longest := int64(0)
 	for i := range j.steps {
-		own := c.estimate(j, &j.steps[i])
+		own := j.steps[i].EstimateMs
 		if unfinished && j.group(occurrence, i).finished() {
 			own = 0
 		}
-		begin := time.Duration(0)
+		begin := int64(0)
 		for _, a := range j.steps[i].After {
 			begin = max(begin, all[a])
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -25,6 +25,7 @@
 	cancelled bool
 	started   bool
 	finished  int64 // Unix milliseconds of a final state
+	stepsDone int   // over all occurrences; what remains of a chain changes with it
 	dirty     bool  // state is not in an append yet
 	progress  *jobs.Progress
 
@@ -64,6 +65,15 @@
 	askFailed int           // calls in a row without an answer
 	askedAt   model.Time
 	rank      int64 // order among ready groups; lower goes first
+	chains    chains
+}
+
+// chains are what the rank of a group needs of its job's steps. They are kept,
+// since an owner ranks thousands of waiting groups again and again.
+type chains struct {
+	known      bool
+	stepsDone  int   // of the job, for which they hold
+	all, toRun int64 // sums of estimates, in milliseconds
 }
 
 // eligibility is what is known of one worker for one group.
@@ -227,6 +237,7 @@
 	settled    bool // owner that knows every job
 
 	ready        []*group        // groups with pending tasks, in order of rank after a sort
+	unranked     int             // of them, at the end, were queued since then
 	changed      bool            // something happened that may let a waiting group be placed
 	mostFree     model.Resources // in each kind, at any usable worker
 	resort       bool
