--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -45,8 +45,10 @@
 		first = append(first, c.nextJob())
 	}
 	c.step(first...)
-	c.now = c.now.Add(5 * time.Second)
-	c.step(StreamRead{End: 1, SentAt: c.now}, Tick{UnixMs: 1, StoreAnswered: c.now})
+	for range 2 { // the second time it has waited with its claim
+		c.now = c.now.Add(5 * time.Second)
+		c.step(StreamRead{End: 1, SentAt: c.now}, Tick{UnixMs: 1, StoreAnswered: c.now})
+	}
 	c.step(Claimed{Epoch: c.maxEpoch, SentAt: c.now, Won: true})
 	c.step(SubmissionsRead{SentAt: c.now})
 	return c
