Test of waiting work compares costs that are measured in turn

Eight runs on a busy machine failed once (23 and 48 ms): all seconds with few waiting jobs were measured before those with many, and the machine became slower in between. They are now measured in turn, and garbage of the preparation is collected before. The bound stays, twice as much.

--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -95,28 +96,30 @@
 	}
 }
 
-// costOfSecond returns the least time of several that the owner's second takes,
-// and the starts that it sends.
+// costOfSecond returns the time that a second of an owner takes, and the starts
+// that it sends.
 func costOfSecond(waiting int) (time.Duration, int) {
-	least, starts := time.Hour, 0
-	for range 8 {
-		c := newBacklogCell(waiting)
-		c.second()
-		before, begin := c.starts, time.Now()
-		c.second()
-		least, starts = min(least, time.Since(begin)), c.starts-before
-	}
-	return least, starts
+	c := newBacklogCell(waiting)
+	c.second()
+	runtime.GC() // of what building the cell left
+	before, begin := c.starts, time.Now()
+	c.second()
+	return time.Since(begin), c.starts - before
 }
 
 // Guards against an owner that spends its processor on what waits: what it sends
 // is less then, and more waits. At least half has to be left for its work.
 func TestWaitingWorkCostsLessThanWork(t *testing.T) {
 	is := is.New(t)
-	few, starts := costOfSecond(100)
-	many, same := costOfSecond(3000)
-	t.Logf("a second takes %v with 100 waiting jobs and %v with 3,000; %d starts", few, many, starts)
-	is.True(starts > 500)
-	is.Equal(starts, same)
+	few, many := time.Hour, time.Hour
+	for range 12 { // in turn, since the machine is not always as quick
+		cost, starts := costOfSecond(100)
+		few = min(few, cost)
+		cost, same := costOfSecond(3000)
+		many = min(many, cost)
+		is.True(starts > 500)
+		is.Equal(starts, same)
+	}
+	t.Logf("a second takes %v with 100 waiting jobs and %v with 3,000", few, many)
 	is.True(many <= 2*few)
 }
