--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -330,6 +330,9 @@
 
 // follow connects to the owner of a claim.
 func (n *Node) follow(c jobs.Claim) {
+	if n.submits.owner.Swap(c.Epoch) != c.Epoch {
+		n.submits.refusals.forget()
+	}
 	if c.Owner == n.self || c.Released {
 		n.client.Target("", "")
 		return
--- a/internal/node/refusals_test.go
+++ b/internal/node/refusals_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -26,3 +28,17 @@
 	refused, _ = r.refused(now.Add(2*time.Second), "q")
 	is.True(!refused) // the owner is asked again before callers come back
 }
+
+// Callers went on to hear the refusals of an owner that another had followed.
+func TestRefusalsEndWithTheirOwner(t *testing.T) {
+	is := is.New(t)
+	n := New(Settings{}, Deps{Telemetry: NewTelemetry(io.Discard, "error", "i"), Now: func() model.Time { return model.Time(time.Hour) }}, "i")
+	n.follow(jobs.Claim{Epoch: 1, Owner: "a", Address: "a:1"})
+	n.submits.refusals.note(n.deps.Now(), "q", 4*time.Second)
+	n.follow(jobs.Claim{Epoch: 1, Owner: "a", Address: "a:1"}) // a heartbeat
+	refused, _ := n.submits.refusals.refused(n.deps.Now(), "q")
+	is.True(refused)
+	n.follow(jobs.Claim{Epoch: 2, Owner: "b", Address: "b:1"})
+	refused, _ = n.submits.refusals.refused(n.deps.Now(), "q")
+	is.True(!refused)
+}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -151,6 +151,7 @@
 	queue   []*submission
 	batches int
 
+	owner    atomic.Int64 // epoch of the owner that the refusals are of
 	refusals refusals
 }
 
@@ -176,6 +177,13 @@
 	r.until[queue] = now.Add(time.Duration(overloadMemory * float64(retryAfter)))
 }
 
+// forget drops what an owner refused that is none any more.
+func (r *refusals) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.until)
+}
+
 // refused reports whether a submission is refused without asking, and when its
 // caller should come back.
 func (r *refusals) refused(now model.Time, queue string) (bool, time.Duration) {
