--- a/internal/cell/calls_test.go
+++ b/internal/cell/calls_test.go
@@ -154,3 +154,39 @@
 	}
 	is.True(len(asked) > 1)
 }
+
+// An owner that had been paused placed work anew and started it before it had
+// read the cancellations that were stored meanwhile.
+func TestPausedOwnerReadsSubmissionsFirst(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	c := n.cell
+	starts := func(out []Effect) (sent int) {
+		for _, e := range out {
+			if _, ok := e.(Start); ok {
+				sent++
+			}
+		}
+		return sent
+	}
+	c.Step(s.now, JobAdded{Job: jobs.Job{ID: "00000000000000aa", Queue: "batch", Steps: []jobs.Step{{Tasks: 1, Need: cores(1), EstimateMs: 1000}}}})
+	is.True(c.inFlight != nil)
+	now := s.now.Add(silenceWithLink + time.Millisecond)
+	resumed := now
+	store := func() int { // each append is stored at once
+		sent := 0
+		for range 5 {
+			if c.inFlight == nil {
+				break
+			}
+			now = now.Add(10 * time.Millisecond)
+			sent += starts(c.Step(now, Appended{Commit: c.inFlight.number, SentAt: now}))
+		}
+		return sent
+	}
+	is.Equal(store(), 0)
+	is.Equal(starts(c.Step(now, SubmissionsRead{SentAt: resumed.Add(-time.Millisecond)})), 0) // sent before the pause
+	is.Equal(store(), 0)
+	c.Step(now, SubmissionsRead{SentAt: now})
+	is.Equal(store(), 1)
+}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -72,6 +72,9 @@
 // one may have started. An end that a worker lists for a job that is not known
 // would be lost.
 func (c *Cell) submissionsRead(e SubmissionsRead) {
+	if c.role == roleOwner && c.settled && c.resumedAt != 0 && e.SentAt >= c.resumedAt {
+		c.resumedAt, c.changed = 0, true
+	}
 	if c.role != roleOwner || c.settled || e.SentAt < c.ownerSince {
 		return
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -237,7 +237,9 @@
 	draining    bool
 	evidence    model.Time // when this instance last certainly was the owner
 	ownerSince  model.Time
-	settled     bool // owner that knows every job
+	settled     bool       // owner that knows every job
+	steppedAt   model.Time // newest step
+	resumedAt   model.Time // since when it has not read all submissions after a pause; zero if it has
 
 	ready        []*group        // groups with pending tasks, in order of rank after a sort
 	unranked     int             // of them, at the end, were queued since then
