--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -219,14 +219,16 @@
 			p.limit = min(max(p.limit*grow, p.limit+growBytes), maxLimit)
 		}
 	}
-	if p.held {
+	if p.full && p.held {
 		p.measure(now.Sub(p.began))
 	}
 	clear(p.starts)
 	p.began, p.quick, p.slow, p.full = now, 0, 0, false
 }
 
-// measure takes the starts of a period in which work was held back into account.
+// measure takes the starts of a period into account in which calls reached the
+// limit and work was held back. The moment at which a burst arrives says nothing
+// about the rate.
 func (p *Pacer) measure(d time.Duration) {
 	total := 0
 	for priority, bytes := range p.starts {
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -289,3 +289,22 @@
 	}
 	is.True(p.Limit() >= 15_000)
 }
+
+// Short bursts after calm seconds were refused: the rate was that of the calm.
+func TestBurstsSayNothingAboutTheRate(t *testing.T) {
+	is := is.New(t)
+	p := New(25_000_000, 0.8)
+	now := start
+	for range 300 { // 30 s of 100 starts a second, each period ends with a burst
+		p.Held(false)
+		for range 10 {
+			now = now.Add(10 * time.Millisecond)
+			p.Plan(800)
+			p.Start(0, 800)
+			p.Held(true)
+			p.Answered(now, 800, 5*time.Millisecond, true)
+		}
+	}
+	over, _ := p.Overloaded(0, Backlog{Ahead: 150_000, All: 150_000, Useful: 1400 * time.Millisecond})
+	is.True(!over)
+}
