Starts need a recent read of all submissions; cancellations outlive refusals; outages are no silence

The silence of an owner counts from when the stream can be read again: a VM of 0.19 core had taken the cell as the store came back, beside an owner that lived (TestOutageOfTheStoreKeepsTheOwner failed).

--- a/internal/cell/calls_test.go
+++ b/internal/cell/calls_test.go
@@ -155,9 +155,9 @@
 	is.True(len(asked) > 1)
 }
 
-// An owner that had been paused placed work anew and started it before it had
-// read the cancellations that were stored meanwhile.
-func TestPausedOwnerReadsSubmissionsFirst(t *testing.T) {
+// An owner that had been paused, or cut off from the store, started work before it
+// had read the cancellations that were stored meanwhile.
+func TestOwnerReadsSubmissionsBeforeItStarts(t *testing.T) {
 	is := is.New(t)
 	s, n := owned(t, 1, 1)
 	c := n.cell
@@ -171,7 +171,7 @@
 	}
 	c.Step(s.now, JobAdded{Job: jobs.Job{ID: "00000000000000aa", Queue: "batch", Steps: []jobs.Step{{Tasks: 1, Need: cores(1), EstimateMs: 1000}}}})
 	is.True(c.inFlight != nil)
-	now := s.now.Add(silenceWithLink + time.Millisecond)
+	now := s.now.Add(submissionsFresh + time.Millisecond)
 	resumed := now
 	store := func() int { // each append is stored at once
 		sent := 0
@@ -185,8 +185,57 @@
 		return sent
 	}
 	is.Equal(store(), 0)
-	is.Equal(starts(c.Step(now, SubmissionsRead{SentAt: resumed.Add(-time.Millisecond)})), 0) // sent before the pause
+	is.Equal(starts(c.Step(now, SubmissionsRead{SentAt: resumed.Add(-submissionsFresh)})), 0) // sent before the pause
 	is.Equal(store(), 0)
 	c.Step(now, SubmissionsRead{SentAt: now})
 	is.Equal(store(), 1)
 }
+
+// A job was submitted again after its first submission had been refused. Its
+// cancellation, which was stored in between, was forgotten with the first one.
+func TestCancellationOutlivesRefusedSubmission(t *testing.T) {
+	is := is.New(t)
+	s, n := owned(t, 1, 1)
+	c := n.cell
+	j := jobs.Job{ID: "00000000000000aa", Queue: "batch", Steps: []jobs.Step{{Tasks: 1, Need: cores(1), EstimateMs: 1000}}}
+	c.Step(s.now, JobOffered{Ticket: 1, Job: j, Value: jobs.Encode(j)})
+	is.True(c.inFlight != nil)
+	c.Step(s.now, JobCancelled{ID: j.ID, Part: 0})
+	c.Step(s.now, Appended{Commit: c.inFlight.number, SentAt: s.now, Refused: true})
+	_, known := c.Job(j.ID)
+	is.True(!known)
+	c.Step(s.now, JobAdded{Job: j, Part: 0})
+	v, _ := c.Job(j.ID)
+	is.Equal(v.State, jobs.Cancelled)
+}
+
+// After an outage of the store the first instance that could read took the cell
+// from an owner that lived, since its stream had been silent for so long.
+func TestOutageOfTheStoreKeepsTheOwner(t *testing.T) {
+	is := is.New(t)
+	now := model.Time(time.Hour)
+	c := New(Config{Name: "cell-0", Self: "vm-2", Cores: 0.8, Lease: simLease})
+	c.Step(now, ConfigChanged{Config: &jobs.Config{Version: 1}}, ClaimRead{Claim: jobs.Claim{Epoch: 1, Owner: "vm-1"}},
+		StreamRead{End: 1, SentAt: now, Records: 1}, LinkChanged{Up: true})
+	claimed := func() bool {
+		for _, e := range c.Step(now, StreamRead{End: 1, SentAt: now}, Tick{StoreAnswered: now}) {
+			if _, ok := e.(TryClaim); ok {
+				return true
+			}
+		}
+		return false
+	}
+	now = now.Add(5 * time.Second) // the store was out
+	back := now
+	for now.Sub(back) < silenceWithLink {
+		is.True(!claimed())
+		now = now.Add(TickInterval)
+	}
+	for range 20 {
+		now = now.Add(TickInterval)
+		if claimed() {
+			return
+		}
+	}
+	t.Error("the cell of an owner that stays silent was not claimed")
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -13,7 +13,6 @@
 func (c *Cell) Step(now model.Time, events ...Event) []Effect {
 	c.now = now
 	c.out = nil
-	c.notePause()
 	for _, e := range events {
 		c.handle(e)
 	}
@@ -30,17 +29,6 @@
 	return c.out
 }
 
-// notePause makes an owner that did not run for a while read the submissions
-// before it starts anything: cancellations may have been stored meanwhile.
-func (c *Cell) notePause() {
-	gap := c.now.Sub(c.steppedAt)
-	c.steppedAt = c.now
-	if c.role == roleOwner && c.settled && gap > silenceWithLink {
-		c.resumedAt = c.now
-		c.log("owner resumed", "", Fields{Epoch: c.epoch, Age: gap})
-	}
-}
-
 func (c *Cell) handle(e Event) {
 	switch e := e.(type) {
 	case ConfigChanged:
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -23,6 +23,10 @@
 	// readFresh is how old the newest complete read of the stream may be for
 	// an instance to judge the owner's silence by it.
 	readFresh = 600 * time.Millisecond
+	// submissionsFresh is how old the newest complete read of all submissions may be
+	// for an owner to place and start work. It covers two long polls of a slow store,
+	// and is below the 3 s after which a cancellation must stop starts.
+	submissionsFresh = 2800 * time.Millisecond
 	// claimRetry is the pause after a lost or failed claim.
 	claimRetry = 400 * time.Millisecond
 	// wayPause is how long an owner that has given the cell up leaves it to the
--- a/internal/cell/fold.go
+++ b/internal/cell/fold.go
@@ -134,6 +134,10 @@
 }
 
 func (c *Cell) streamRead(e StreamRead) {
+	if e.SentAt.Sub(c.streamAt) > readFresh {
+		// The owner could not be seen, and may have been without the store as well.
+		c.readableAt = c.now
+	}
 	c.streamEnd, c.streamAt = e.End, e.SentAt
 	if e.Records > 0 {
 		c.ownerSeen = c.now
--- a/internal/cell/offers.go
+++ b/internal/cell/offers.go
@@ -136,6 +136,10 @@
 			}
 		}
 	}
+	if len(j.cancelParts) > 0 {
+		// Its caller may submit it again, or may have elsewhere.
+		c.cancels[j.id] = j.cancelParts
+	}
 	delete(c.jobs, j.id)
 }
 
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -15,9 +15,9 @@
 	if c.draining || c.config == nil || c.streamAt == 0 {
 		return
 	}
-	silent := c.now.Sub(c.ownerSeen)
+	silent := c.now.Sub(max(c.ownerSeen, c.readableAt))
 	if silent < c.patience() || c.now.Sub(c.streamAt) > readFresh {
-		// If the store can't be read, the owner's silence means nothing.
+		// While the store can't be read, the owner's silence means nothing.
 		c.suspectedAt = 0
 		return
 	}
@@ -72,9 +72,10 @@
 // one may have started. An end that a worker lists for a job that is not known
 // would be lost.
 func (c *Cell) submissionsRead(e SubmissionsRead) {
-	if c.role == roleOwner && c.settled && c.resumedAt != 0 && e.SentAt >= c.resumedAt {
-		c.resumedAt, c.changed = 0, true
+	if !c.knowsCancellations() {
+		c.changed = true // work may be placed again
 	}
+	c.submissionsAt = max(c.submissionsAt, e.SentAt)
 	if c.role != roleOwner || c.settled || e.SentAt < c.ownerSince {
 		return
 	}
@@ -91,6 +92,10 @@
 	c.log("cell owned", "", Fields{Epoch: c.epoch, Count: len(c.jobs), Age: c.now.Sub(c.ownerSeen)})
 }
 
+// knowsCancellations reports whether all submissions were read lately. Work of a
+// job that was cancelled meanwhile must not be started.
+func (c *Cell) knowsCancellations() bool { return c.now.Sub(c.submissionsAt) <= submissionsFresh }
+
 // sortedJobs returns all jobs in the order of their submission.
 func (c *Cell) sortedJobs() []*job {
 	out := make([]*job, 0, len(c.jobs))
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -38,7 +38,7 @@
 		return
 	}
 	g, w := p.group, p.worker
-	if g.job.state.Final() || !w.fenced || w.failedCalls > 0 || w.info.Draining || c.resumedAt != 0 {
+	if g.job.state.Final() || !w.fenced || w.failedCalls > 0 || w.info.Draining || !c.knowsCancellations() {
 		c.dropUnsent(p, "no longer wanted")
 		return
 	}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -35,7 +35,7 @@
 
 // schedule places waiting tasks in the order of their rank.
 func (c *Cell) schedule() {
-	if c.config == nil || c.released || c.wantsRelease() || c.resumedAt != 0 {
+	if c.config == nil || c.released || c.wantsRelease() || !c.knowsCancellations() {
 		return
 	}
 	c.changed = false
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -221,25 +221,25 @@
 	list    []*worker // all workers by name
 	health  *health.State
 
-	role      role
-	epoch     int64
-	maxEpoch  int64
-	claim     jobs.Claim // newest one
-	ownerSeen model.Time // newest entry of the owner
-	streamEnd int64
-	streamAt  model.Time // sending time of the newest complete read
-	linkUp    bool
-	ownerGone bool       // the owner has certainly ended
-	tryAt     model.Time // no claim before
+	role       role
+	epoch      int64
+	maxEpoch   int64
+	claim      jobs.Claim // newest one
+	ownerSeen  model.Time // newest entry of the owner
+	streamEnd  int64
+	streamAt   model.Time // sending time of the newest complete read
+	readableAt model.Time // since when the stream is read without a gap
+	linkUp     bool
+	ownerGone  bool       // the owner has certainly ended
+	tryAt      model.Time // no claim before
 	// suspectedAt is when the owner's silence passed the patience with it; zero
 	// if it did not.
-	suspectedAt model.Time
-	draining    bool
-	evidence    model.Time // when this instance last certainly was the owner
-	ownerSince  model.Time
-	settled     bool       // owner that knows every job
-	steppedAt   model.Time // newest step
-	resumedAt   model.Time // since when it has not read all submissions after a pause; zero if it has
+	suspectedAt   model.Time
+	draining      bool
+	evidence      model.Time // when this instance last certainly was the owner
+	ownerSince    model.Time
+	settled       bool       // owner that knows every job
+	submissionsAt model.Time // sending time of the newest complete read of all submissions
 
 	ready        []*group        // groups with pending tasks, in order of rank after a sort
 	unranked     int             // of them, at the end, were queued since then
