--- /dev/null
+++ b/internal/store/reads.go
@@ -0,0 +1,20 @@
+package store
+
+const (
+	// maxRead bounds one read in bytes, and so the memory for it.
+	maxRead = 256 << 10
+	// minRead keeps reads over narrow links from becoming many.
+	minRead = 16 << 10
+	// readPart is the part of a second for which one read may fill the link, so
+	// that those of other streams are not late.
+	readPart = 5
+)
+
+// ReadBytes returns the most that one read of a stream should ask for, over a
+// link with a bandwidth in bytes a second; zero if it is not known.
+func ReadBytes(bandwidth int64) int64 {
+	if bandwidth <= 0 {
+		return maxRead
+	}
+	return min(max(bandwidth/readPart, minRead), maxRead)
+}
