Cell: permits of a group are sparse, and wide groups ask for them at once

Cause: on a large site a gang of 86 or 240 tasks never started although most workers were idle. One eligibility call at a time asks about 36 workers, and a permit is valid for 2.5 s, so the permits of successive calls never sufficed.

Change: the calls for a wide group run at the same time on several instances (eligibility.WorkerCount, Split). A group holds only the permits it has, and candidates are taken from these. The first workers of a call are selected instead of sorting all. Runs of a worker are sorted only if one needs an order, and a gang is ruled out by the sum of free CPU first. TestWaitingJobsUseLittleProcessor measures the time of its thread, not of the machine, and keeps its bound.

--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -15,6 +16,16 @@
 // backlogWorkers is the number of workers of the large sites with wide links.
 const backlogWorkers = 350
 
+// threadTime returns the processor time that the current thread has used. Unlike the time
+// of day, it does not depend on what else the machine runs. The goroutine must be locked
+// to its thread.
+func threadTime(t *testing.T) time.Duration {
+	t.Helper()
+	var at unix.Timespec
+	is.New(t).NoErr(unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &at))
+	return time.Duration(at.Nano())
+}
+
 // backlogCell is an owner with little processor on a large site where many jobs wait.
 type backlogCell struct {
 	*Cell
@@ -24,7 +35,7 @@
 	starts  int
 }
 
-func newBacklogCell(waiting int) *backlogCell {
+func newBacklogCell(workers, waiting int) *backlogCell {
 	c := &backlogCell{now: model.Time(time.Hour), Cell: New(Config{
 		Name: "cell-0", Self: "vm", Address: "a:1", MaxLease: simLease, GangWait: time.Second, Retention: time.Minute, Cores: 0.19, Bandwidth: 1_250_000,
 	})}
@@ -33,9 +44,9 @@
 		cfg.Queues = append(cfg.Queues, q.Queue)
 	}
 	first := []Event{ConfigChanged{Config: cfg}, InstanceChanged{Name: "vm", Up: true}}
-	for i := range backlogWorkers {
+	for i := range workers {
 		first = append(first, WorkerRegistered{Info: jobs.WorkerInfo{
-			Name: model.WorkerName(fmt.Sprintf("w%03d", i)), Address: "a:2", Service: "svc", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 32000},
+			Name: model.WorkerName(fmt.Sprintf("w%04d", i)), Address: "a:2", Service: "svc", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 32000},
 		}})
 	}
 	for i := range 30 {
@@ -97,15 +108,16 @@
 	}
 }
 
-// measureSecond returns the time that one simulated second of an owner takes, and the
-// number of starts it sends.
-func measureSecond(waiting int) (time.Duration, int) {
-	c := newBacklogCell(waiting)
+// measureSecond returns the processor time that one simulated second of an owner takes,
+// and the number of starts it sends.
+func measureSecond(t *testing.T, waiting int) (time.Duration, int) {
+	t.Helper()
+	c := newBacklogCell(backlogWorkers, waiting)
 	c.runSecond()
 	runtime.GC() // garbage from building the cell
-	before, begin := c.starts, time.Now()
+	before, begin := c.starts, threadTime(t)
 	c.runSecond()
-	return time.Since(begin), c.starts - before
+	return threadTime(t) - begin, c.starts - before
 }
 
 // Guards against an owner that spends its processor on waiting jobs: it then sends
@@ -113,11 +125,13 @@
 // sending.
 func TestWaitingJobsUseLittleProcessor(t *testing.T) {
 	is := is.New(t)
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	few, many := time.Hour, time.Hour
 	for range 12 { // alternately, since the machine's speed varies
-		cost, starts := measureSecond(100)
+		cost, starts := measureSecond(t, 100)
 		few = min(few, cost)
-		cost, same := measureSecond(3000)
+		cost, same := measureSecond(t, 3000)
 		many = min(many, cost)
 		is.True(starts > 500)
 		is.Equal(starts, same)
--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -94,7 +94,9 @@
 // maxQueryDoublings bounds the exponential growth of queryRetryPause while calls fail.
 const maxQueryDoublings = 3
 
-// queryEligibility starts an eligibility call for a group, if there are workers to query.
+// queryEligibility starts the eligibility calls for a group, if there are workers to
+// query. The calls for a wide group run at the same time on several instances: permits
+// expire, so that those of successive calls would never suffice for it.
 func (c *Cell) queryEligibility(g *group, q *jobs.Queue) {
 	if g.queriesInFlight > 0 || g.queriedAt != 0 && c.now.Sub(g.queriedAt) < queryRetryPause<<min(g.failedQueries, maxQueryDoublings) {
 		return
@@ -110,12 +112,26 @@
 	if len(names) == 0 {
 		return
 	}
+	g.queriedAt = c.now
+	for _, size := range policy.Split(len(names)) {
+		if g.queriesInFlight > 0 { // the first call has its instance
+			a = c.freeInstance(q.Eligibility.Base)
+			if a == nil || c.queriesInFlight >= c.pacer.MaxEligibilityCalls(q.Priority == 0) {
+				return // the rest is asked about after the answers
+			}
+		}
+		c.callEligibility(g, q, a, names[:size])
+		names = names[size:]
+	}
+}
+
+// callEligibility has an instance make one eligibility call for a group.
+func (c *Cell) callEligibility(g *group, q *jobs.Queue, a *instance, names []model.WorkerName) {
 	cost := q.Eligibility.CallDuration(len(names))
 	a.callsInFlight++
 	a.freeFrom = max(a.freeFrom, c.now).Add(cost)
 	g.queriesInFlight++
 	c.queriesInFlight++
-	g.queriedAt = c.now
 	c.log("eligibility call started", g.job.id, Fields{Count: len(names), Reason: a.name, Age: c.now.Sub(g.readyAt)})
 	c.emit(QueryEligibility{Instance: a.name, Job: g.job.id, Step: g.stepIndex, Occurrence: g.occurrence, Workers: names, Expected: cost})
 }
@@ -138,16 +154,16 @@
 // eligibility.
 func (c *Cell) workersToQuery(g *group, q *jobs.Queue) []model.WorkerName {
 	need, headroom := taskDemand(g.step), c.headroom(g)
-	var pool []*worker
+	pool := c.queryBuffer[:0]
 	fitting := 0
 	for _, w := range c.workerList {
-		if !c.canRun(g, q, w) || c.health.Quarantined(w.info.Name) {
+		if !c.canRun(g, q, w) || g.eligibilityAt(w) == eligibleNo {
 			continue
 		}
-		if g.eligibilityAt(w) == eligibleNo || c.hasPermit(g, w) {
+		if need.MilliCPU > w.info.Capacity.MilliCPU || need.MemoryMB > w.info.Capacity.MemoryMB {
 			continue
 		}
-		if need.MilliCPU > w.info.Capacity.MilliCPU || need.MemoryMB > w.info.Capacity.MemoryMB {
+		if c.hasPermit(g, w) || c.health.Quarantined(w.info.Name) {
 			continue
 		}
 		pool = append(pool, w)
@@ -155,24 +171,58 @@
 			fitting++
 		}
 	}
-	if fitting == 0 && len(g.eligible) > 0 {
+	c.queryBuffer = pool[:0]
+	if len(pool) == 0 || fitting == 0 && len(g.eligible) > 0 {
 		return nil // another call frees no resources
 	}
-	slices.SortStableFunc(pool, func(a, b *worker) int {
-		return cmp.Or(-cmp.Compare(eligibleWithRoom(g, a), eligibleWithRoom(g, b)), -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU))
-	})
 	perWorker := 1
-	if need.MilliCPU > 0 && len(pool) > 0 {
+	if need.MilliCPU > 0 {
 		perWorker = max(1, int(pool[0].info.Capacity.MilliCPU/2/need.MilliCPU))
 	}
-	n := min(len(pool), policy.WorkerCount(g.pending, perWorker, c.stats(g.job.queue).eligibleShare))
-	names := make([]model.WorkerName, n)
-	for i := range names {
-		names[i] = pool[i].info.Name
+	chosen := firstWorkers(pool, policy.WorkerCount(g.pending-c.permittedTasks(g, need, headroom), perWorker, c.stats(g.job.queue).eligibleShare), func(a, b *worker) int {
+		return cmp.Or(-cmp.Compare(eligibleWithRoom(g, a), eligibleWithRoom(g, b)), -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU))
+	})
+	names := make([]model.WorkerName, len(chosen))
+	for i, w := range chosen {
+		names[i] = w.info.Name
 	}
 	return names
 }
 
+// permittedTasks returns how many tasks of a group fit on workers with a valid permit now.
+func (c *Cell) permittedTasks(g *group, need model.Resources, headroom int64) int {
+	n := int64(0)
+	for i := range g.permits {
+		if p := &g.permits[i]; c.permitValid(p) && p.worker.usable(c.now) && need.MilliCPU > 0 {
+			n += max(0, (p.worker.free().MilliCPU-headroom)/need.MilliCPU)
+		}
+	}
+	return min(int(n), g.pending)
+}
+
+// firstWorkers returns the first n workers in the given order. Workers that compare as
+// equal keep their order. Sorting all workers of a large site for each call would take
+// most of the owner's time.
+func firstWorkers(pool []*worker, n int, compare func(a, b *worker) int) []*worker {
+	out := make([]*worker, 0, min(n, len(pool))+1)
+	for _, w := range pool {
+		if len(out) == n && compare(w, out[n-1]) >= 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(out, w, func(a, b *worker) int {
+			if compare(a, b) <= 0 {
+				return -1
+			}
+			return 1
+		})
+		out = slices.Insert(out, at, w)
+		if len(out) > n {
+			out = out[:n]
+		}
+	}
+	return out
+}
+
 // eligibleWithRoom returns 1 for a worker that is known to be eligible and has enough
 // free CPU, otherwise 0.
 func eligibleWithRoom(g *group, w *worker) int {
@@ -217,10 +267,13 @@
 	}
 	g.failedQueries = 0
 	c.observe("eligibility_seconds", j.queue, c.now.Sub(g.queriedAt))
-	if more := len(c.workerList) - len(g.permits); more > 0 {
-		g.permits = append(g.permits, make([]permit, more)...)
+	if g.finished() {
+		return
+	}
+	if more := len(c.workerList) - len(g.eligible); more > 0 {
 		g.eligible = append(g.eligible, make([]eligibility, more)...)
 	}
+	g.permits = slices.DeleteFunc(g.permits, func(p permit) bool { return c.now >= p.expiresAt })
 	for _, name := range e.Queried {
 		if w := c.workers[name]; w != nil {
 			g.eligible[w.index] = eligibleNo
@@ -229,7 +282,7 @@
 	for _, p := range e.Eligible {
 		if w := c.workers[p.Worker]; w != nil {
 			g.eligible[w.index] = eligibleYes
-			g.permits[w.index] = permit{token: p.Token, boot: w.boot, expiresAt: c.now.Add(e.ValidFor)}
+			g.setPermit(permit{worker: w, token: p.Token, boot: w.boot, expiresAt: c.now.Add(e.ValidFor)})
 		}
 	}
 	if len(e.Queried) > 0 {
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -226,6 +226,7 @@
 	t.state = taskDone
 	g.doneCount++
 	if g.finished() {
+		g.permits, g.eligible = nil, nil
 		g.job.stepsDone++
 		c.enqueueGroups(g.job)
 	}
@@ -295,7 +296,7 @@
 		t.lastFailedRun = run
 		failures = t.failures
 	}
-	g.tasks[index].avoidWorker = w.info.Name
+	g.tasks[index].avoidWorker, g.hasFailed = w.info.Name, true
 	c.markDirty(g.job)
 	if maxAttempts := c.queueOf(g.job).MaxAttempts; !g.step.LongRunning && failures >= maxAttempts && !g.job.state.Final() {
 		c.finish(g.job, jobs.Failed, "attempts used up")
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -34,13 +34,16 @@
 	peakDuration = 120 * time.Second
 )
 
-// peakQueues are the queues of the profile's day.
-var peakQueues = []struct {
+// loadQueue is a queue of a load, with the properties of its jobs.
+type loadQueue struct {
 	jobs.Queue
 	eligible float64 // share of the workers that are eligible for a step
 	estimate float64 // largest relative error of an estimate
 	gangs    float64 // share of jobs that are gangs
-}{
+}
+
+// peakQueues are the queues of the profile's day.
+var peakQueues = []loadQueue{
 	{jobs.Queue{Name: "urgent", Service: "svc", Priority: 0, MaxAttempts: 2, StretchFactor: 1.5, LatencyTarget: 250 * time.Millisecond,
 		Eligibility: jobs.Eligibility{Base: 9300 * time.Microsecond, PerWorker: 130 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.7, 0.2, 0.3},
 	{jobs.Queue{Name: "plan", Service: "svc", Priority: 1, MaxAttempts: 4, StretchFactor: 2.2, LatencyTarget: time.Second,
@@ -91,6 +94,7 @@
 // loadRun is one replay of the profile.
 type loadRun struct {
 	seed   uint64
+	queues []loadQueue
 	jobs   map[jobs.ID]*loadJob
 	order  []jobs.ID
 	failed map[jobs.TaskRef]int
@@ -120,7 +124,7 @@
 	if l == nil {
 		return at%2 == 0
 	}
-	return l.random(id, string(w), 0) < peakQueueOf(l.jobs[id].Queue).eligible
+	return l.random(id, string(w), 0) < l.queueOf(l.jobs[id].Queue).eligible
 }
 
 func (l *loadRun) run(t jobs.TaskRef) (time.Duration, jobs.Outcome) {
@@ -145,15 +149,10 @@
 	}
 }
 
-type peakQueue = struct {
-	jobs.Queue
-	eligible, estimate, gangs float64
-}
-
-func peakQueueOf(name string) peakQueue {
-	for _, q := range peakQueues {
-		if q.Name == name {
-			return peakQueue{q.Queue, q.eligible, q.estimate, q.gangs}
+func (l *loadRun) queueOf(name string) *loadQueue {
+	for i := range l.queues {
+		if l.queues[i].Name == name {
+			return &l.queues[i]
 		}
 	}
 	panic("no queue " + name)
@@ -163,7 +162,7 @@
 // faults.
 func replayProfile(t *testing.T, seed uint64, copies map[string]int) *loadRun {
 	t.Helper()
-	l := &loadRun{seed: seed, jobs: map[jobs.ID]*loadJob{}, failed: map[jobs.TaskRef]int{}}
+	l := &loadRun{seed: seed, queues: peakQueues, jobs: map[jobs.ID]*loadJob{}, failed: map[jobs.TaskRef]int{}}
 	s := newSim(seed, 1, peakWorkers)
 	s.load = l
 	s.onLog = func(e Log) { l.recordLog(s.now, e) }
@@ -213,7 +212,7 @@
 
 // job returns a job of the profile as its caller submits it.
 func (l *loadRun) job(id jobs.ID, j *loadJob) jobs.Job {
-	q := peakQueueOf(j.Queue)
+	q := l.queueOf(j.Queue)
 	out := jobs.Job{ID: id, Queue: j.Queue}
 	for i := range j.Steps {
 		st := &j.Steps[i]
@@ -254,16 +253,16 @@
 }
 
 // objective returns the time within which a job is to finish.
-func (j *loadJob) objective() time.Duration {
-	q, chain := peakQueueOf(j.Queue), time.Duration(0)
+func (j *loadJob) objective(q *loadQueue) time.Duration {
+	chain := time.Duration(0)
 	for _, st := range j.Steps {
 		chain += st.longest() + q.Eligibility.CallDuration(workersPerCall)
 	}
 	return time.Duration(q.StretchFactor*float64(chain)) + q.LatencyTarget
 }
 
-func (j *loadJob) inTime() bool {
-	return j.finished != 0 && j.finished.Sub(j.submitted) <= j.objective()
+func (l *loadRun) inTime(j *loadJob) bool {
+	return j.finished != 0 && j.finished.Sub(j.submitted) <= j.objective(l.queueOf(j.Queue))
 }
 
 // wait returns the time from the submission to the first placement.
@@ -279,7 +278,7 @@
 	all, inTime := map[string]float64{}, map[string]float64{}
 	for _, j := range l.jobs {
 		all[of(j)]++
-		if j.inTime() {
+		if l.inTime(j) {
 			inTime[of(j)]++
 		}
 	}
@@ -321,7 +320,7 @@
 	line("kind", func(j *loadJob) string { return j.Queue })
 	line("data centre", func(j *loadJob) string { return fmt.Sprint(j.Zone) })
 	line("window", func(j *loadJob) string { return fmt.Sprintf("%02d", j.AtMs/peakWindow.Milliseconds()*2) })
-	for _, q := range peakQueues {
+	for _, q := range l.queues {
 		w, total := l.waits(q.Name), []time.Duration(nil)
 		for _, j := range l.jobs {
 			if j.Queue == q.Name && j.finished != 0 {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -99,7 +99,7 @@
 			return
 		}
 		if e.Verdict == NoPermit {
-			p.group.permits[w.index] = permit{}
+			p.group.setPermit(permit{worker: w})
 		}
 		if e.Verdict != NoPermit && e.Verdict != OtherInstance {
 			w.pausedUntil = c.now.Add(refusedStartPause)
@@ -288,19 +288,35 @@
 // their tasks are placed again.
 func (c *Cell) checkRuns() {
 	for _, w := range c.workerList {
+		due := false
+		for _, p := range w.runs {
+			due = due || c.stopRetryDue(p) || c.stalled(p)
+		}
+		if !due {
+			continue // most workers, whose runs need no order
+		}
 		for _, p := range sortedPlacements(w) {
-			if p.phase == phaseStopping && !p.stopInFlight && !p.stopAccepted && c.now.Sub(p.stopSentAt) >= stopRetryPause<<min(p.unansweredStops, maxStopDoublings) {
+			if c.stopRetryDue(p) {
 				c.sendStop(p)
 			}
-			// Only answers of the worker count: one that is cut off may still make
-			// progress.
-			if p.phase == phaseRunning && p.group != nil && w.answeredAt.Sub(p.progressAt) > c.stallTimeout(p.group) {
+			if c.stalled(p) {
 				c.stop(p, "no progress")
 			}
 		}
 	}
 }
 
+// stopRetryDue reports whether the stop of a run is to be sent again.
+func (c *Cell) stopRetryDue(p *placement) bool {
+	return p.phase == phaseStopping && !p.stopInFlight && !p.stopAccepted && c.now.Sub(p.stopSentAt) >= stopRetryPause<<min(p.unansweredStops, maxStopDoublings)
+}
+
+// stalled reports whether a run has made no progress for too long. Only answers of the
+// worker count: one that is cut off may still make progress.
+func (c *Cell) stalled(p *placement) bool {
+	return p.phase == phaseRunning && p.group != nil && p.worker.answeredAt.Sub(p.progressAt) > c.stallTimeout(p.group)
+}
+
 // stallTimeout returns how long a run of a group may show no progress. Even a straggler
 // shows some within the expected time of a run.
 func (c *Cell) stallTimeout(g *group) time.Duration {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -240,11 +240,16 @@
 		return
 	}
 	var pool []*worker
+	total := int64(0)
 	for _, w := range c.workerList {
-		if c.canRun(g, q, w) && c.reservedFor[w] == nil && (!q.Eligibility.Required() || g.eligibilityAt(w) == eligibleYes) {
+		if (!q.Eligibility.Required() || g.eligibilityAt(w) == eligibleYes) && c.canRun(g, q, w) && c.reservedFor[w] == nil {
 			pool = append(pool, w)
+			total += (w.info.Capacity.MilliCPU - d.Headroom) / d.Need.MilliCPU
 		}
 	}
+	if total < int64(g.pending) {
+		return
+	}
 	slices.SortStableFunc(pool, func(a, b *worker) int { return -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU) })
 	capacity := int64(0)
 	for i, w := range pool {
@@ -298,10 +303,11 @@
 	})
 }
 
-// candidates returns the workers on which tasks of a group may be placed now.
+// candidates returns the workers on which tasks of a group may be placed now. The
+// slices are valid until the next call.
 func (c *Cell) candidates(g *group, q *jobs.Queue) ([]fit.Candidate, []*worker) {
-	var out []fit.Candidate
-	var workers []*worker
+	out, workers := c.candidateBuffer[:0], c.workerBuffer[:0]
+	defer func() { c.candidateBuffer, c.workerBuffer = out[:0], workers[:0] }()
 	add := func(w *worker) {
 		if !c.canRun(g, q, w) || q.Priority > 0 && c.reservedFor[w] != nil {
 			return
@@ -327,12 +333,9 @@
 		}
 		return out, workers
 	}
-	if len(g.permits) == 0 {
-		return nil, nil
-	}
-	for _, w := range c.workerList {
-		if c.hasPermit(g, w) {
-			add(w)
+	for i := range g.permits {
+		if p := &g.permits[i]; c.permitValid(p) {
+			add(p.worker)
 		}
 	}
 	return out, workers
@@ -349,19 +352,39 @@
 	}
 }
 
+// findPermit returns the position in a group's permits of the one for a worker, or where
+// it is to be inserted.
+func (g *group) findPermit(w *worker) (int, bool) {
+	return slices.BinarySearchFunc(g.permits, w.index, func(p permit, index int) int { return cmp.Compare(p.worker.index, index) })
+}
+
 // permitAt returns a group's permit for a worker, which may be empty or expired.
 func (g *group) permitAt(w *worker) permit {
-	if w.index < len(g.permits) {
-		return g.permits[w.index]
+	if at, ok := g.findPermit(w); ok {
+		return g.permits[at]
 	}
 	return permit{}
 }
 
-// hasPermit reports whether a group has a permit for a worker that remains valid long
-// enough for a start.
+// setPermit adds a permit, or replaces the one for the same worker.
+func (g *group) setPermit(p permit) {
+	at, ok := g.findPermit(p.worker)
+	if ok {
+		g.permits[at] = p
+	} else {
+		g.permits = slices.Insert(g.permits, at, p)
+	}
+}
+
+// permitValid reports whether a permit remains valid long enough for a start.
+func (c *Cell) permitValid(p *permit) bool {
+	return p.token != "" && p.boot == p.worker.boot && p.expiresAt.Sub(c.now) > permitMargin
+}
+
+// hasPermit reports whether a group has a valid permit for a worker.
 func (c *Cell) hasPermit(g *group, w *worker) bool {
-	p := g.permitAt(w)
-	return p.token != "" && p.boot == w.boot && p.expiresAt.Sub(c.now) > permitMargin
+	at, ok := g.findPermit(w)
+	return ok && c.permitValid(&g.permits[at])
 }
 
 func (g *group) eligibilityAt(w *worker) eligibility {
@@ -392,6 +415,9 @@
 const avoidPenalty = 20000
 
 func (c *Cell) penalty(g *group, w *worker) int64 {
+	if !g.hasFailed {
+		return 0
+	}
 	for i := range g.tasks {
 		if g.tasks[i].avoidWorker == w.info.Name {
 			return avoidPenalty
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -22,8 +22,10 @@
 	store      simStore
 	nodes      []*simNode
 	workers    []*simWorker
-	cfg        *jobs.Config
-	truth      groundTruth
+	// workersByName is rebuilt when a worker was added.
+	workersByName map[model.WorkerName]*simWorker
+	cfg           *jobs.Config
+	truth         groundTruth
 	// violations lists the violations of the guarantees.
 	violations []string
 
@@ -536,10 +538,14 @@
 }
 
 func (s *sim) worker(name model.WorkerName) *simWorker {
-	for _, w := range s.workers {
-		if w.name == name {
-			return w
+	if len(s.workersByName) != len(s.workers) {
+		s.workersByName = map[model.WorkerName]*simWorker{}
+		for _, w := range s.workers {
+			s.workersByName[w.name] = w
 		}
 	}
+	if w := s.workersByName[name]; w != nil {
+		return w
+	}
 	panic("no worker " + name)
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -6,6 +6,7 @@
 	"github.com/gentianpick/gentianpick/internal/health"
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
 	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 )
 
@@ -48,7 +49,8 @@
 	stepIndex  int
 	step       *jobs.Step
 	tasks      []task
-	pending    int // number of tasks that wait for a placement
+	hasFailed  bool // a task has failed, so that some workers are to be avoided
+	pending    int  // number of tasks that wait for a placement
 	doneCount  int
 	readyAt    model.Time // since when its tasks may start; zero before
 	queued     bool       // is in the cell's readyGroups
@@ -59,7 +61,7 @@
 	lastFailedRun    int
 	activePlacements int // placements that are not over
 
-	permits         []permit      // by worker index; empty until the first answer
+	permits         []permit      // ordered by worker index; empty until the first answer
 	eligible        []eligibility // answers of the eligibility service, by worker index
 	queriesInFlight int           // eligibility calls in flight
 	failedQueries   int           // consecutive eligibility calls without an answer
@@ -85,8 +87,10 @@
 	eligibleNo
 )
 
-// permit lets the tasks of a group start on a worker.
+// permit lets the tasks of a group start on a worker. A group has permits for a few of
+// the workers only, so that its size does not grow with the site.
 type permit struct {
+	worker    *worker
 	token     string
 	boot      int64 // start of the worker that it is valid for
 	expiresAt model.Time
@@ -254,7 +258,10 @@
 	renewOffset       int                // position in workerList at which renewals begin
 	queriesInFlight   int                // eligibility calls in flight
 	reservedFor       map[*worker]*group // workers reserved for waiting gangs
-	reservations      int                // gangs with reserved workers in this scheduling pass
+	candidateBuffer   []fit.Candidate    // reused by candidates, with workerBuffer
+	workerBuffer      []*worker
+	queryBuffer       []*worker // reused by workersToQuery
+	reservations      int       // gangs with reserved workers in this scheduling pass
 	dirtyJobs         []*job
 	firstStarts       []firstStart // that may be in no append yet, oldest first
 	requestEntries    []Entry      // requested submissions and cancellations for the next append
--- a/internal/policy/eligibility/eligibility.go
+++ b/internal/policy/eligibility/eligibility.go
@@ -69,15 +69,34 @@
 	// most a hundred.
 	minWorkers = 8
 	maxWorkers = 36
+	// maxCalls bounds the simultaneous calls for one step. They suffice for a gang that
+	// takes half of the cores of 400 workers, of which a third is eligible.
+	maxCalls = 16
 	// oversampling is the factor by which a call asks about more workers than should
 	// suffice.
 	oversampling = 1.5
 )
 
 // WorkerCount returns about how many workers to ask for a number of tasks, if perWorker
-// of them fit on one worker and the given share of the workers is eligible.
+// of them fit on one worker and the given share of the workers is eligible. Split says
+// how many calls that takes.
 func WorkerCount(tasks, perWorker int, share float64) int {
 	workers := (tasks + perWorker - 1) / max(1, perWorker)
 	n := int(oversampling*float64(workers)/max(share, 0.1)) + 2
-	return min(max(n, minWorkers), maxWorkers)
+	return min(max(n, minWorkers), maxCalls*maxWorkers)
+}
+
+// Split returns the numbers of workers of the simultaneous calls that ask about the
+// given number of workers in all. The calls are of about the same size, since the step
+// waits for the slowest.
+func Split(workers int) []int {
+	calls := (workers + maxWorkers - 1) / maxWorkers
+	sizes := make([]int, calls)
+	for i := range sizes {
+		sizes[i] = workers / calls
+		if i < workers%calls {
+			sizes[i]++
+		}
+	}
+	return sizes
 }
--- a/internal/policy/fit/fit.go
+++ b/internal/policy/fit/fit.go
@@ -86,9 +86,27 @@
 	return out
 }
 
+// enoughCPU reports whether the candidates' free CPU suffices for n tasks. It rules out
+// most attempts to place a wide gang on a busy site at little cost.
+func enoughCPU(d Demand, candidates []Candidate, n int) bool {
+	if d.Need.MilliCPU <= 0 {
+		return true
+	}
+	for i := range candidates {
+		if n <= 0 {
+			break
+		}
+		n -= int(max(0, (candidates[i].Free.MilliCPU-d.Headroom)/d.Need.MilliCPU))
+	}
+	return n <= 0
+}
+
 // PlaceGang returns workers for all n tasks of a gang, or none. All of them are in one
 // rack if the tasks run faster that way and one rack has enough free resources.
 func PlaceGang(d Demand, candidates []Candidate, n int) []int {
+	if !enoughCPU(d, candidates, n) {
+		return nil
+	}
 	if d.OneRack {
 		racks := map[string][]int{}
 		for i := range candidates {
