Link: busy connections are pinged a third as often

Cause: every instance pings the owner each 150 ms, 980 pings and answers a second at 147 instances, though calls and replies already show that both ends are alive.

Change: a ping is left out while both directions carried data within a ping interval, for up to 450 ms, so that the owner's clock is still read several times in each window.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -127,9 +127,11 @@
 }
 
 // pingLoop pings the owner until the connection is lost or a ping fails, and returns
-// the cause.
+// the cause. While calls and replies keep both directions busy, most pings are left out:
+// an owner of a large site would otherwise answer a thousand of them a second.
 func (c *Client) pingLoop(ctx context.Context, conn *jsonrpc2.Conn, s *connHandler) error {
-	lastPong := time.Now()
+	lastPong := time.Now() // also the time of a read that replaced a ping
+	lastPing := lastPong
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -138,6 +140,11 @@
 			return ctx.Err()
 		case <-time.After(pingInterval):
 		}
+		if s.netConn.active() && time.Since(lastPing) < busyPingInterval {
+			lastPong = time.Now()
+			continue
+		}
+		lastPing = time.Now()
 		if err := c.ping(ctx, conn, s, lastPong.Add(activeOwnerTimeout)); err != nil {
 			return err
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -29,6 +29,10 @@
 	pingInterval = 150 * time.Millisecond
 	pingTimeout  = 250 * time.Millisecond
 	dialTimeout  = 300 * time.Millisecond
+	// busyPingInterval replaces pingInterval while other messages show that both ends
+	// are alive. The pings that remain read the owner's clock, a few times in each
+	// offsetWindow.
+	busyPingInterval = 450 * time.Millisecond
 	// activeOwnerTimeout replaces pingTimeout while OwnerActive reports an active owner.
 	// A busy owner answers late, and a reconnect would only add to its load. It is the
 	// longest time for which a silent connection is kept.
@@ -295,6 +299,7 @@
 	readTimeout time.Duration
 	start       time.Time
 	lastRead    atomic.Int64 // time of the last successful read, in nanoseconds since start
+	lastWrite   atomic.Int64 // the same of the last successful write
 }
 
 func newDeadlineConn(conn net.Conn) *deadlineConn {
@@ -306,6 +311,11 @@
 	return time.Since(c.start) - time.Duration(c.lastRead.Load())
 }
 
+// active reports whether data was received and sent within a ping interval.
+func (c *deadlineConn) active() bool {
+	return time.Since(c.start)-time.Duration(min(c.lastRead.Load(), c.lastWrite.Load())) < pingInterval
+}
+
 func (c *deadlineConn) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
@@ -321,7 +331,11 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err == nil {
+		c.lastWrite.Store(int64(time.Since(c.start)))
+	}
+	return n, err
 }
 
 // Serve accepts connections from other instances until the listener is closed.
--- a/internal/link/watch_test.go
+++ b/internal/link/watch_test.go
@@ -124,3 +124,33 @@
 	case <-time.After(3 * activeOwnerTimeout):
 	}
 }
+
+// Guards against an owner that spends its processor on pings while calls and replies
+// already show that it is alive. An idle connection is still pinged, and a busy one
+// often enough to read the owner's clock in every window.
+func TestBusyConnectionIsPingedRarely(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const observed = 2 * time.Second
+	count := func(busy bool) int64 {
+		var pings atomic.Int64
+		owner := &slowOwner{newInstance("owner"), func() { pings.Add(1) }}
+		follower := newInstance("follower")
+		up, _ := startClient(t, owner, follower)
+		<-up
+		peer := <-owner.connected
+		pings.Store(0)
+		for end := time.Now().Add(observed); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if busy {
+				_, err := peer.Permits(context.Background(), PermitRequest{})
+				is.NoErr(err)
+			}
+		}
+		return pings.Load()
+	}
+	idle, busy := count(false), count(true)
+	t.Logf("%d pings while idle, %d while busy", idle, busy)
+	is.True(idle >= int64(observed/(2*pingInterval)))
+	is.True(busy <= int64(observed/busyPingInterval)+1)
+	is.True(busy >= int64(observed/offsetWindow))
+}
