Standin: listeners are reserved and handed over

Change: the listener of a reserved address stays open until the instance takes it over (node.Deps.Listen).

--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -59,11 +60,12 @@
 	t := node.NewTelemetry(cmd.Root().Writer, settings.LogLevel, settings.Name)
 	defer t.Close()
 	stop := make(chan struct{})
-	return runNode(ctx, newNode(settings, t), t, stop, sync.OnceFunc(func() { close(stop) }))
+	return runNode(ctx, newNode(settings, t, nil), t, stop, sync.OnceFunc(func() { close(stop) }))
 }
 
-// newNode returns an instance that uses the services of the platform.
-func newNode(settings node.Settings, t *node.Telemetry) *node.Node {
+// newNode returns an instance that uses the services of the platform. It opens its
+// listeners with listen, or as usual if that is nil.
+func newNode(settings node.Settings, t *node.Telemetry, listen func(address string) (net.Listener, error)) *node.Node {
 	traffic := &node.Traffic{}
 	return node.New(settings, node.Deps{
 		Store:       platform.NewStoreClient(settings.StoreAddress, store.MaxReadBytes(settings.Bandwidth), &traffic.Store),
@@ -73,6 +75,7 @@
 		Telemetry:   t,
 		Traffic:     traffic,
 		Now:         bootTime,
+		Listen:      listen,
 	}, settings.Name+"-"+string(newIncarnation()))
 }
 
--- a/internal/cli/runstandalone.go
+++ b/internal/cli/runstandalone.go
@@ -34,19 +34,20 @@
 		Name: "standalone", DataCentre: "z", CallerListen: cmd.String("http"), StoreAddress: platform.StoreAddress, EligibilityAddress: platform.EligibilityAddress,
 		SubmissionPartitions: 1, MaxLease: standaloneMaxLease, GangWait: standaloneGangWait, Retention: standaloneRetention, TerminationGrace: standaloneTerminationGrace, Cores: 1,
 	}
-	for _, address := range []*string{&settings.ReadyListen, &settings.PeerListen, &settings.MetricsListen} {
-		if *address, err = standin.FreeAddress(); err != nil {
-			return err
-		}
-	}
+	listeners := &standin.Listeners{}
+	defer listeners.Close()
+	addresses := []*string{&settings.ReadyListen, &settings.PeerListen, &settings.MetricsListen}
 	if settings.CallerListen == anyPort {
-		if settings.CallerListen, err = standin.FreeAddress(); err != nil {
+		addresses = append(addresses, &settings.CallerListen)
+	}
+	for _, address := range addresses {
+		if *address, err = listeners.Reserve(); err != nil {
 			return err
 		}
 	}
 	t := node.NewTelemetry(cmd.Root().ErrWriter, settings.LogLevel, settings.Name)
 	defer t.Close()
-	n, stop, demoResult := newNode(settings, t), make(chan struct{}), make(chan error, 1)
+	n, stop, demoResult := newNode(settings, t, listeners.Listen), make(chan struct{}), make(chan error, 1)
 	requestStop := sync.OnceFunc(func() { close(stop) })
 	go func() {
 		caller := &standin.Client{BaseURL: "http://" + settings.CallerListen, HTTP: httpjson.NewClient(1)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 	Traffic *Traffic
 	// Now reads a clock that advances while the VM is suspended.
 	Now func() model.Time
+	// Listen opens the listeners of Serve. It is net.Listen for TCP if it is nil.
+	Listen func(address string) (net.Listener, error)
 }
 
 const (
@@ -110,6 +113,9 @@
 
 // New returns a node. Run or Serve starts it.
 func New(set Settings, deps Deps, incarnation string) *Node {
+	if deps.Listen == nil {
+		deps.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	if deps.Traffic == nil {
 		deps.Traffic = &Traffic{}
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	lns := make([]net.Listener, 0, 4)
 	listen := func(address string) (net.Listener, error) {
-		ln, err := net.Listen("tcp", address)
+		ln, err := n.deps.Listen(address)
 		if err != nil {
 			return nil, &ListenError{Address: address, Cause: err}
 		}
