Placement: room for gangs is counted in every resource

The workers asked about and the reservations were counted by CPU alone, five tasks a worker where memory allows three.

Change: fit.Count counts by CPU, memory and accelerators; eligibility calls, reservations and the early check of a gang use it.

--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -8,6 +8,7 @@
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 	policy "github.com/gentianpick/gentianpick/internal/policy/eligibility"
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
 )
 
 // instance is one instance of the scheduler, as a candidate for eligibility calls and
@@ -175,11 +176,9 @@
 	if len(pool) == 0 || fitting == 0 && len(g.eligible) > 0 {
 		return nil // another call frees no resources
 	}
-	perWorker := 1
-	if need.MilliCPU > 0 {
-		perWorker = max(1, int(pool[0].info.Capacity.MilliCPU/2/need.MilliCPU))
-	}
-	chosen := firstWorkers(pool, policy.WorkerCount(g.pending-c.permittedTasks(g, need, headroom), perWorker, c.stats(g.job.queue).eligibleShare), func(a, b *worker) int {
+	// Half of a worker is taken to be in use.
+	perWorker := max(1, fit.Count(fit.Demand{Need: need}, pool[0].info.Capacity)/2)
+	chosen := firstWorkers(pool, policy.WorkerCount(g.pending-c.permittedTasks(g), perWorker, c.stats(g.job.queue).eligibleShare), func(a, b *worker) int {
 		return cmp.Or(-cmp.Compare(eligibleWithRoom(g, a), eligibleWithRoom(g, b)), -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU))
 	})
 	names := make([]model.WorkerName, len(chosen))
@@ -190,14 +189,14 @@
 }
 
 // permittedTasks returns how many tasks of a group fit on workers with a valid permit now.
-func (c *Cell) permittedTasks(g *group, need model.Resources, headroom int64) int {
-	n := int64(0)
+func (c *Cell) permittedTasks(g *group) int {
+	d, n := fit.Demand{Need: taskDemand(g.step), Headroom: c.headroom(g)}, 0
 	for i := range g.permits {
-		if p := &g.permits[i]; c.permitValid(p) && p.worker.usable(c.now) && need.MilliCPU > 0 {
-			n += max(0, (p.worker.free().MilliCPU-headroom)/need.MilliCPU)
+		if p := &g.permits[i]; n < g.pending && c.permitValid(p) && p.worker.usable(c.now) {
+			n += fit.Count(d, p.worker.free())
 		}
 	}
-	return min(int(n), g.pending)
+	return min(n, g.pending)
 }
 
 // firstWorkers returns the first n workers in the given order. Workers that compare as
--- a/internal/cell/largesite_test.go
+++ b/internal/cell/largesite_test.go
@@ -109,8 +109,8 @@
 	}
 }
 
-func wideGang(tasks int, milliCPU int64) *loadJob {
-	st := loadStep{MilliCPU: milliCPU}
+func wideGang(tasks int, milliCPU, memoryMB int64) *loadJob {
+	st := loadStep{MilliCPU: milliCPU, MemoryMB: memoryMB}
 	for range tasks {
 		st.RunMs = append(st.RunMs, 2000)
 	}
@@ -123,12 +123,13 @@
 	for _, c := range []struct {
 		tasks    int
 		milliCPU int64
-	}{{86, 6500}, {240, 3700}, {240, 7600}} {
-		t.Run(fmt.Sprint(c.tasks, " tasks of ", c.milliCPU), func(t *testing.T) {
+		memoryMB int64
+	}{{86, 6500, 6224}, {240, 3700, 3700}, {240, 7600, 9000}, {135, 2450, 8624}} {
+		t.Run(fmt.Sprintf("%d tasks of %d and %d MB", c.tasks, c.milliCPU, c.memoryMB), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			s, n := newLargeSite(1)
-			id := s.load.add(s, n, 0, wideGang(c.tasks, c.milliCPU))
+			id := s.load.add(s, n, 0, wideGang(c.tasks, c.milliCPU, c.memoryMB))
 			s.run(8 * time.Second)
 			for _, v := range s.violations {
 				t.Error(v)
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -60,6 +61,8 @@
 	MilliCPU int64   `json:"milli_cpu"`
 	RunMs    []int64 `json:"run_ms"`
 	Failures []int   `json:"failures"`
+	// MemoryMB is that of each task; as much as MilliCPU if zero.
+	MemoryMB int64 `json:"memory_mb"`
 
 	gang bool
 }
@@ -223,7 +226,7 @@
 		}
 		estimateError := 1 + q.estimate*(2*l.random(id, "estimate", i)-1)
 		step := jobs.Step{
-			Tasks: len(st.RunMs), Resources: model.Resources{MilliCPU: st.MilliCPU, MemoryMB: st.MilliCPU},
+			Tasks: len(st.RunMs), Resources: model.Resources{MilliCPU: st.MilliCPU, MemoryMB: cmp.Or(st.MemoryMB, st.MilliCPU)},
 			EstimateMs: max(1, int64(estimateError*float64(sum)/float64(len(st.RunMs)))), Gang: st.gang,
 		}
 		if i > 0 {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -240,20 +240,20 @@
 		return
 	}
 	var pool []*worker
-	total := int64(0)
+	total := 0
 	for _, w := range c.workerList {
 		if (!q.Eligibility.Required() || g.eligibilityAt(w) == eligibleYes) && c.canRun(g, q, w) && c.reservedFor[w] == nil {
 			pool = append(pool, w)
-			total += (w.info.Capacity.MilliCPU - d.Headroom) / d.Need.MilliCPU
+			total += fit.Count(d, w.info.Capacity)
 		}
 	}
-	if total < int64(g.pending) {
+	if total < g.pending {
 		return
 	}
 	slices.SortStableFunc(pool, func(a, b *worker) int { return -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU) })
-	capacity := int64(0)
+	capacity := 0
 	for i, w := range pool {
-		if capacity += (w.info.Capacity.MilliCPU - d.Headroom) / d.Need.MilliCPU; capacity < int64(g.pending) {
+		if capacity += fit.Count(d, w.info.Capacity); capacity < g.pending {
 			continue
 		}
 		for _, w := range pool[:i+1] {
--- a/internal/policy/fit/fit.go
+++ b/internal/policy/fit/fit.go
@@ -86,17 +86,30 @@
 	return out
 }
 
-// enoughCPU reports whether the candidates' free CPU suffices for n tasks. It rules out
-// most attempts to place a wide gang on a busy site at little cost.
-func enoughCPU(d Demand, candidates []Candidate, n int) bool {
-	if d.Need.MilliCPU <= 0 {
-		return true
+// unlimited is the number of tasks that fit if they need nothing.
+const unlimited = 1 << 30
+
+// Count returns how many tasks fit into free resources, apart from the headroom.
+func Count(d Demand, free model.Resources) int {
+	n := int64(unlimited)
+	limit := func(free, need int64) {
+		if need > 0 {
+			n = min(n, max(0, free/need))
+		}
 	}
+	limit(free.MilliCPU-d.Headroom, d.Need.MilliCPU)
+	limit(free.MemoryMB, d.Need.MemoryMB)
+	limit(free.Accelerators, d.Need.Accelerators)
+	return int(n)
+}
+
+// enoughRoom reports whether the candidates have room for n tasks. It rules out most
+// attempts to place a wide gang on a busy site at little cost.
+func enoughRoom(d Demand, candidates []Candidate, n int) bool {
 	for i := range candidates {
-		if n <= 0 {
-			break
+		if n -= Count(d, candidates[i].Free); n <= 0 {
+			return true
 		}
-		n -= int(max(0, (candidates[i].Free.MilliCPU-d.Headroom)/d.Need.MilliCPU))
 	}
 	return n <= 0
 }
@@ -104,7 +117,7 @@
 // PlaceGang returns workers for all n tasks of a gang, or none. All of them are in one
 // rack if the tasks run faster that way and one rack has enough free resources.
 func PlaceGang(d Demand, candidates []Candidate, n int) []int {
-	if !enoughCPU(d, candidates, n) {
+	if !enoughRoom(d, candidates, n) {
 		return nil
 	}
 	if d.OneRack {
--- a/internal/policy/fit/fit_test.go
+++ b/internal/policy/fit/fit_test.go
@@ -58,3 +58,15 @@
 	d.OneRack = true
 	is.Equal(PlaceGang(d, workers(4000, 4000, 8000, 8000), 4), []int{2, 2, 3, 3})
 }
+
+// Guards against counting only CPU: a gang whose tasks need much memory was given too
+// few workers and never started.
+func TestCountIsLimitedByEachResource(t *testing.T) {
+	is := is.New(t)
+	free := model.Resources{MilliCPU: 16000, MemoryMB: 32768}
+	is.Equal(Count(Demand{Need: model.Resources{MilliCPU: 2450, MemoryMB: 8624}, Headroom: 1500}, free), 3)
+	is.Equal(Count(Demand{Need: model.Resources{MilliCPU: 4500, MemoryMB: 100}, Headroom: 1500}, free), 3)
+	is.Equal(Count(Demand{Need: model.Resources{MilliCPU: 100, Accelerators: 1}}, free), 0)
+	is.Equal(Count(Demand{Need: model.Resources{MilliCPU: 100}, Headroom: 17000}, free), 0)
+	is.Equal(Count(Demand{}, free), unlimited)
+}
