Owner of a large site: few large relays, pings that follow the number of instances

It relays 3,500 calls a second through 146 instances, so that nearly each call and each reply is a message of its own, hashes all instances for each call, and answers 980 pings a second.

Change: dispatch.Relays chooses the largest instances that suffice with a reserve of four; the choice is kept for 50 ms. The owner tells instances how often to ping: 3 ms times their number, from 150 to 400 ms.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -101,6 +101,7 @@
 		return
 	}
 	s.age.addReading(welcome.ClockMs, helloSentAt)
+	s.setPingInterval(welcome.PingMs)
 	c.mu.Lock()
 	if c.address != address || c.owner != owner {
 		c.mu.Unlock()
@@ -138,7 +139,7 @@
 			return jsonrpc2.ErrClosed
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(pingInterval):
+		case <-time.After(time.Duration(s.pingEvery.Load())):
 		}
 		if s.netConn.active() && time.Since(lastPing) < busyPingInterval {
 			lastPong = time.Now()
@@ -165,6 +166,7 @@
 		pong, err := call[Pong](ctx, conn, methodPing, struct{}{})
 		if err == nil {
 			s.age.addReading(pong.ClockMs, pingSentAt)
+			s.setPingInterval(pong.PingMs)
 		}
 		result <- err
 	}()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -29,6 +29,11 @@
 	pingInterval = 150 * time.Millisecond
 	pingTimeout  = 250 * time.Millisecond
 	dialTimeout  = 300 * time.Millisecond
+	// pingCost is the part of the owner's time that one connected instance's pings may
+	// occupy, as an interval between the pings of all instances. With more instances,
+	// each pings less often, up to maxPingInterval, which is below maxPeerSilence.
+	pingCost        = 3 * time.Millisecond
+	maxPingInterval = 400 * time.Millisecond
 	// busyPingInterval replaces pingInterval while other messages show that both ends
 	// are alive. The pings that remain read the owner's clock, a few times in each
 	// offsetWindow.
@@ -77,11 +82,15 @@
 type Welcome struct {
 	Name    string `json:"name"` // incarnation of the accepting instance
 	ClockMs int64  `json:"clock_ms"`
+	PingMs  int64  `json:"ping_ms,omitempty"` // as in Pong
 }
 
 // Pong is the reply to a ping.
 type Pong struct {
 	ClockMs int64 `json:"c"`
+	// PingMs is the interval until the next ping in milliseconds; zero stands for
+	// pingInterval.
+	PingMs int64 `json:"i,omitempty"`
 }
 
 // StateRequest asks for the state of a job.
@@ -202,9 +211,12 @@
 // connHandler serves the requests on one connection.
 type connHandler struct {
 	h        Handler
+	peers    *atomic.Int64 // number of connected instances; nil on the dialling end
 	netConn  *deadlineConn
 	age      ageBound      // of received call batches
 	executor *callExecutor // nil until the first batch
+	// pingEvery is the interval between pings of the dialling end, in nanoseconds.
+	pingEvery atomic.Int64
 
 	mu   sync.Mutex
 	name string
@@ -253,7 +265,7 @@
 func (s *connHandler) dispatch(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, *jsonrpc2.Error) {
 	switch req.Method {
 	case methodPing:
-		return Pong{ClockMs: millis(s.h.Now())}, nil
+		return Pong{ClockMs: millis(s.h.Now()), PingMs: pingIntervalFor(s.peers).Milliseconds()}, nil
 	case methodHello:
 		return handleRequest(req, func(h Hello) any {
 			peer := &Peer{Cores: h.Cores, Bandwidth: h.Bandwidth, conn: conn, netConn: s.netConn, sender: newCallSender(conn, s.h.Now)}
@@ -262,7 +274,7 @@
 			s.name, s.peer = h.Name, peer
 			s.mu.Unlock()
 			s.h.Connected(h.Name, peer)
-			return Welcome{Name: s.h.Name(), ClockMs: millis(s.h.Now())}
+			return Welcome{Name: s.h.Name(), ClockMs: millis(s.h.Now()), PingMs: pingIntervalFor(s.peers).Milliseconds()}
 		})
 	case methodLeave:
 		s.mu.Lock()
@@ -282,6 +294,14 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
 }
 
+// pingIntervalFor returns the interval between pings of each of the connected instances.
+func pingIntervalFor(peers *atomic.Int64) time.Duration {
+	if peers == nil {
+		return pingInterval
+	}
+	return min(max(pingInterval, time.Duration(peers.Load())*pingCost), maxPingInterval)
+}
+
 func handleRequest[P any](req *jsonrpc2.Request, f func(P) any) (any, *jsonrpc2.Error) {
 	var p P
 	if req.Params == nil {
@@ -316,6 +336,11 @@
 	return time.Since(c.start)-time.Duration(min(c.lastRead.Load(), c.lastWrite.Load())) < pingInterval
 }
 
+// setPingInterval adopts the interval that the owner asks for.
+func (s *connHandler) setPingInterval(ms int64) {
+	s.pingEvery.Store(int64(min(max(time.Duration(ms)*time.Millisecond, pingInterval), maxPingInterval)))
+}
+
 func (c *deadlineConn) Read(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
 		return 0, err
@@ -340,6 +365,7 @@
 
 // Serve accepts connections from other instances until the listener is closed.
 func Serve(ctx context.Context, ln net.Listener, h Handler) {
+	var peers atomic.Int64
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -349,10 +375,12 @@
 			time.Sleep(redialDelay)
 			continue
 		}
-		s := &connHandler{h: h, netConn: newDeadlineConn(conn)}
+		s := &connHandler{h: h, peers: &peers, netConn: newDeadlineConn(conn)}
+		peers.Add(1)
 		rpc := newRPCConn(ctx, s, false)
 		go func() {
 			<-rpc.DisconnectNotify()
+			peers.Add(-1)
 			s.mu.Lock()
 			name, peer := s.name, s.peer
 			s.mu.Unlock()
--- a/internal/link/watch_test.go
+++ b/internal/link/watch_test.go
@@ -154,3 +154,23 @@
 	is.True(busy <= int64(observed/busyPingInterval)+1)
 	is.True(busy >= int64(observed/offsetWindow))
 }
+
+// Guards against an owner whose pings grow without bound with the number of instances,
+// and against instances that seem silent since they ping too rarely.
+func TestPingIntervalGrowsWithInstances(t *testing.T) {
+	is := is.New(t)
+	var peers atomic.Int64
+	for instances, want := range map[int64]time.Duration{
+		8: pingInterval, 44: pingInterval, 100: 300 * time.Millisecond, 147: maxPingInterval, 3889: maxPingInterval,
+	} {
+		peers.Store(instances)
+		is.Equal(pingIntervalFor(&peers), want)
+	}
+	is.Equal(pingIntervalFor(nil), pingInterval)
+	is.True(maxPingInterval < maxPeerSilence)
+	s := &connHandler{}
+	for _, ms := range []int64{0, -5, 1 << 40} { // from older and faulty instances
+		s.setPingInterval(ms)
+		is.True(time.Duration(s.pingEvery.Load()) >= pingInterval && time.Duration(s.pingEvery.Load()) <= maxPingInterval)
+	}
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -35,9 +35,14 @@
 	peers      map[string]*link.Peer
 	avoided    map[model.WorkerName]avoidedInstance
 	relaying   bool                // whether calls are relayed
-	candidates []dispatch.Instance // reused by route
+	candidates []dispatch.Instance // instances that relay calls
+	chosenAt   model.Time          // when candidates were chosen; zero after a change of peers
 }
 
+// relayChoiceAge is the greatest age of the choice of the instances that relay calls.
+// Choosing them looks at every instance, and an owner makes thousands of calls a second.
+const relayChoiceAge = 50 * time.Millisecond
+
 func newDispatcher(n *Node) *dispatcher {
 	return &dispatcher{n: n, peers: map[string]*link.Peer{}, avoided: map[model.WorkerName]avoidedInstance{}}
 }
@@ -48,7 +53,7 @@
 func (d *dispatcher) addPeer(name string, p *link.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peers[name] = p
+	d.peers[name], d.chosenAt = p, 0
 }
 
 // removePeer removes an instance that has disconnected.
@@ -56,22 +61,47 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.peers, name)
+	d.chosenAt = 0
 }
 
 // route chooses the instance that makes a call to a worker. It returns that instance's
 // connection and name; the connection is nil if this instance makes the call itself.
 func (d *dispatcher) route(w model.WorkerName) (*link.Peer, string) {
 	owner := dispatch.Instance{Name: d.n.self, Cores: d.n.settings.Cores, Bandwidth: d.n.settings.Bandwidth}
-	workers := int(d.workers.Load())
+	now := d.n.deps.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.candidates = d.candidates[:0]
+	if d.chosenAt == 0 || now.Sub(d.chosenAt) > relayChoiceAge {
+		d.chooseRelays(owner, now)
+	}
+	for {
+		if !d.relaying {
+			return nil, owner.Name
+		}
+		avoid := ""
+		if t, ok := d.avoided[w]; ok && now < t.until {
+			avoid = t.instance
+		}
+		name := dispatch.Choose(w, owner, d.candidates, avoid)
+		p := d.peers[name] // nil for the owner, which is not a peer of itself
+		if p == nil || p.Usable() {
+			return p, name
+		}
+		d.chooseRelays(owner, now) // without this instance
+	}
+}
+
+// chooseRelays chooses the instances that relay calls. The caller holds mu.
+func (d *dispatcher) chooseRelays(owner dispatch.Instance, now model.Time) {
+	workers := int(d.workers.Load())
+	d.candidates, d.chosenAt = d.candidates[:0], now
 	if dispatch.NeedsRelay(owner, workers, d.relaying) {
 		for name, p := range d.peers {
 			if p.Usable() {
 				d.candidates = append(d.candidates, dispatch.Instance{Name: name, Cores: p.Cores, Bandwidth: p.Bandwidth})
 			}
 		}
+		d.candidates = dispatch.Relays(d.candidates, workers)
 	}
 	if relaying := len(d.candidates) > 0; relaying != d.relaying {
 		d.relaying = relaying
@@ -81,15 +111,6 @@
 		}
 		d.n.deps.Telemetry.Log("routing of worker calls changed", LogFields{Outcome: outcome, Count: int64(workers)})
 	}
-	if !d.relaying {
-		return nil, owner.Name
-	}
-	avoid := ""
-	if t, ok := d.avoided[w]; ok && d.n.deps.Now() < t.until {
-		avoid = t.instance
-	}
-	name := dispatch.Choose(w, owner, d.candidates, avoid)
-	return d.peers[name], name // nil for the owner, which is not a peer of itself
 }
 
 // recordVerdict records the verdict of a call that an instance made. If the call was not
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -7,7 +7,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +33,13 @@
 	// ownerLinkShare is the weight of the owner's link relative to those of other
 	// instances. The owner's link also carries the appends to the store.
 	ownerLinkShare = 0.25
+	// relayReserve times the calls to all workers is what the chosen instances can carry
+	// together. It covers the crest of a day and the loss of a data centre with half of
+	// them.
+	relayReserve = 4
+	// minRelays is the least number of instances that relay calls, so that the loss of
+	// one concerns few workers.
+	minRelays = 12
 	// defaultBandwidth is assumed for a link of unknown rate, in bytes a second.
 	defaultBandwidth = 1_000_000_000 / 8
 )
@@ -53,6 +62,32 @@
 	return owner.Bandwidth > 0 && link > factor*linkShare*float64(owner.Bandwidth) || owner.Cores > 0 && cores > factor*owner.Cores
 }
 
+// capacity returns the number of workers to which an instance can make the calls.
+func capacity(i Instance) float64 {
+	n := linkShare * bandwidthOf(i) / bytesPerWorker
+	if i.Cores > 0 {
+		n = min(n, i.Cores/coresPerWorker)
+	}
+	return n
+}
+
+// Relays returns the instances that relay calls, the largest ones first: as many as the
+// calls to the given number of workers need, with a reserve. The owner sends one message
+// for all calls that an instance gets within some milliseconds, so that its cost grows
+// with the number of relays, and small instances make calls slowly. It reorders others.
+func Relays(others []Instance, workers int) []Instance {
+	slices.SortFunc(others, func(a, b Instance) int {
+		return cmp.Or(-cmp.Compare(capacity(a), capacity(b)), cmp.Compare(a.Name, b.Name))
+	})
+	sum := 0.0
+	for i := range others {
+		if sum += capacity(others[i]); sum >= relayReserve*float64(workers) && i+1 >= minRelays {
+			return others[:i+1]
+		}
+	}
+	return others
+}
+
 // Choose returns the name of the instance that makes the calls to a worker: the owner
 // or one of the others. Workers are distributed in proportion to the links' rates. The
 // choice for a worker changes only when the chosen instance is gone, or when a new one
--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -139,3 +139,34 @@
 	is := is.New(t)
 	is.Equal(Choose("i-1", Instance{Name: "owner", Bandwidth: 1}, nil, "owner"), "owner")
 }
+
+// Guards against an owner of a large site that sends each call in a message of its own,
+// since as many instances as there are relay its calls, most of them too small to be
+// quick.
+func TestRelaysAreFewAndLarge(t *testing.T) {
+	is := is.New(t)
+	large := func(n int, cores float64, bandwidth int64) []Instance {
+		out := fleet(n, bandwidth)
+		for i := range out {
+			out[i].Name, out[i].Cores = fmt.Sprintf("%s-%v", out[i].Name, cores), cores
+		}
+		return out
+	}
+	all := append(large(132, 0.192, 20*mbit), large(14, 0.8, 200*mbit)...)
+	got := Relays(all, 1100)
+	is.Equal(len(got), minRelays)
+	for _, i := range got {
+		is.Equal(i.Cores, 0.8)
+	}
+	// Instances of one size: as many as the reserve takes.
+	equal := Relays(large(146, 0.192, 20*mbit), 1100)
+	sum := 0.0
+	for _, i := range equal {
+		sum += capacity(i)
+	}
+	is.True(sum >= relayReserve*1100)
+	is.True(sum < relayReserve*1100+capacity(equal[0]))
+	// Narrow links: all of them.
+	is.Equal(len(Relays(large(15, 0.12, 2*mbit), 350)), 15)
+	is.Equal(len(Relays(nil, 350)), 0)
+}
