Malformed input no longer ends a process

Cause, shown by tests that failed before: an end of a run with a negative task index in a worker's answer made the owner's reducer panic; a submission whose occurrences times tasks overflow was accepted and stored, so that each owner in turn would build groups until its memory was used up; a huge occurrence number was taken for another one's. A panic of the reducer ended the process.

A panic of the reducer is logged, the ownership given up, and the cell loaded again after a second.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -486,3 +486,29 @@
 
 // jobAlias is an alias of job for tests in which a variable shadows the type.
 type jobAlias = job
+
+// Guards against an owner that one malformed answer of a worker brings down, or that
+// takes a task for another one's: task references come from outside.
+func TestMalformedTaskReferencesAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s, n := newSimWithOwner(t, 1, 2)
+	s.storeJob("00000000000000aa", "batch", jobs.Step{Tasks: 2, EstimateMs: 60000, Resources: cores(1)})
+	s.run(2 * time.Second)
+	w := n.cell.workerList[0]
+	for i, task := range []jobs.TaskRef{
+		{Job: "00000000000000aa", Index: -1},
+		{Job: "00000000000000aa", Index: 2},
+		{Job: "00000000000000aa", Step: -1},
+		{Job: "00000000000000aa", Step: 1},
+		{Job: "00000000000000aa", Occurrence: -1},
+		{Job: "00000000000000aa", Occurrence: 1 << 62, Index: 1},
+		{Job: "unknown", Index: -7},
+	} {
+		n.send(n.incarnation, Renewed{
+			Worker: w.info.Name, Verdict: Accepted, Boot: w.boot, Clock: w.clock, SentAt: s.now,
+			Ended:   []RunEnd{{Seq: w.seenEndSeq + 1, Task: task, Run: 1, Outcome: jobs.OutcomeDone}, {Seq: w.seenEndSeq + 2, Task: task, Run: 1, Outcome: jobs.OutcomeFailed}},
+			Running: []RunStatus{{Task: task, Run: i}},
+		})
+	}
+	is.Equal(n.cell.jobs["00000000000000aa"].groups[0].doneCount, 0)
+}
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -72,11 +72,10 @@
 }
 
 func (j *job) group(occurrence, step int) *group {
-	i := occurrence*len(j.steps) + step
-	if occurrence < 0 || step < 0 || step >= len(j.steps) || i >= len(j.groups) {
+	if step < 0 || step >= len(j.steps) || occurrence < 0 || occurrence >= len(j.groups)/len(j.steps) {
 		return nil
 	}
-	return j.groups[i]
+	return j.groups[occurrence*len(j.steps)+step]
 }
 
 func (g *group) ref(index int) jobs.TaskRef {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -224,7 +224,7 @@
 	}
 	c.log("run ended", e.Task.Job, Fields{Task: e.Task, HasTask: true, Run: e.Run, Worker: w.info.Name, Outcome: string(e.Outcome), Age: ended.Age, Count: int(e.Seq)})
 	c.count("ends_total", string(e.Outcome))
-	if g == nil || e.Task.Index >= len(g.tasks) {
+	if g == nil || e.Task.Index < 0 || e.Task.Index >= len(g.tasks) {
 		return
 	}
 	c.recordHealth(w, g, p, e)
--- a/internal/jobs/check.go
+++ b/internal/jobs/check.go
@@ -7,6 +7,15 @@
 
 func (e *InvalidError) Error() string { return "invalid job: " + e.Reason }
 
+const (
+	// maxAmount bounds each resource of a task. Sums over all tasks of a site stay far
+	// below the largest integer.
+	maxAmount = 1 << 40
+	// maxEstimateMs bounds the estimated run time of a task, two years in milliseconds. Sums
+	// over the steps of a job stay below the largest time.Duration.
+	maxEstimateMs = 1 << 36
+)
+
 // Validate returns an InvalidError if the job breaks a rule of the model.
 func (j *Job) Validate() error {
 	if len(j.Payload) > MaxPayloadBytes {
@@ -21,8 +30,16 @@
 			return &InvalidError{Reason: fmt.Sprintf("step %d has %d tasks", i, s.Tasks)}
 		}
 		tasks += s.Tasks
-		if s.Resources.MilliCPU < 0 || s.Resources.MemoryMB < 0 || s.Resources.Accelerators < 0 {
-			return &InvalidError{Reason: fmt.Sprintf("step %d needs a negative amount", i)}
+		if tasks > MaxTasks {
+			return &InvalidError{Reason: fmt.Sprintf("more than %d tasks", MaxTasks)}
+		}
+		for _, amount := range []int64{s.Resources.MilliCPU, s.Resources.MemoryMB, s.Resources.Accelerators} {
+			if amount < 0 || amount > maxAmount {
+				return &InvalidError{Reason: fmt.Sprintf("step %d needs an amount of %d, which is not from 0 to %d", i, amount, int64(maxAmount))}
+			}
+		}
+		if s.EstimateMs < 0 || s.EstimateMs > maxEstimateMs {
+			return &InvalidError{Reason: fmt.Sprintf("step %d is estimated to take %d ms, which is not from 0 to %d", i, s.EstimateMs, int64(maxEstimateMs))}
 		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
@@ -30,7 +47,8 @@
 			}
 		}
 	}
-	if j.Schedule.Occurrences < 0 || tasks*j.Schedule.OccurrenceCount() > MaxTasks {
+	// The product of the two may overflow.
+	if j.Schedule.Occurrences < 0 || j.Schedule.OccurrenceCount() > MaxTasks/tasks {
 		return &InvalidError{Reason: fmt.Sprintf("more than %d tasks", MaxTasks)}
 	}
 	return nil
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -160,6 +160,9 @@
 		if err != nil {
 			return errors.CombineErrors(errInvalidTaskRef, err)
 		}
+		if n < 0 {
+			return errInvalidTaskRef
+		}
 		*field = n
 	}
 	return nil
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -281,6 +281,16 @@
 	}
 }
 
+// decodeJob decodes a submission and checks it, unless it is the tombstone of a finished
+// job. An instance of another version may have accepted what this one can't compute with.
+func decodeJob(key string, value []byte) (jobs.Job, error) {
+	j, err := jobs.Decode[jobs.Job](key, value)
+	if err == nil && len(j.Steps) > 0 {
+		err = j.Validate()
+	}
+	return j, err
+}
+
 func (n *Node) submissionHandler(g *generation, partition int) func(store.Record) {
 	return func(r store.Record) {
 		kind, id := jobs.ParseKey(r.Key)
@@ -288,7 +298,7 @@
 		case kind == jobs.KindJob && len(r.Value) == 0:
 			n.enqueueFrom(g, cell.JobExpired{ID: id})
 		case kind == jobs.KindJob:
-			j, err := jobs.Decode[jobs.Job](r.Key, r.Value)
+			j, err := decodeJob(r.Key, r.Value)
 			if err != nil {
 				n.deps.Telemetry.Log("decoding submission failed", LogFields{Subject: r.Key, Reason: err.Error()})
 				return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -221,12 +223,52 @@
 	}
 }
 
+// reducerRestartPause is the pause before the cell is loaded again after a panic in the
+// reducer, so that a record that causes one each time does not use up the processor.
+const reducerRestartPause = time.Second
+
 func (n *Node) step(ctx context.Context, events []cell.Event) {
+	g, effects, err := n.stepCell(events)
+	if err == nil {
+		n.executeEffects(ctx, g, effects)
+		return
+	}
+	// The cell may be inconsistent. The effects of the step are lost, which is safe like
+	// a restart of the process: nothing that is not stored was sent.
+	n.deps.Telemetry.Log("reducer failed; loading the cell again", LogFields{Reason: err.Error(), Count: int64(len(events))})
+	n.deps.Telemetry.Count("reducer_failures_total", "")
+	if g.owner.Swap(false) {
+		n.closePeerConnections()
+	}
+	sleep(ctx, reducerRestartPause)
+	n.reloadCell(ctx)
+}
+
+// ReducerError reports a panic of the reducer.
+type ReducerError struct {
+	Value any
+	Stack string // the innermost frames
+}
+
+func (e *ReducerError) Error() string { return fmt.Sprintf("panic: %v at %s", e.Value, e.Stack) }
+
+// maxPanicStack is the number of bytes of a panic's stack that are logged.
+const maxPanicStack = 2 << 10
+
+// stepCell runs one step of the reducer. A panic, which one unforeseen input may cause,
+// is returned as a ReducerError and does not end the process.
+func (n *Node) stepCell(events []cell.Event) (g *generation, effects []cell.Effect, err error) {
 	n.mu.Lock()
-	effects := n.cell.Step(n.deps.Now(), events...)
-	g := n.generation
-	n.mu.Unlock()
-	n.executeEffects(ctx, g, effects)
+	defer n.mu.Unlock()
+	g = n.generation
+	defer func() {
+		if v := recover(); v != nil {
+			stack := debug.Stack()
+			err = &ReducerError{Value: v, Stack: string(stack[:min(len(stack), maxPanicStack)])}
+		}
+	}()
+	effects = n.cell.Step(n.deps.Now(), events...)
+	return g, effects, nil
 }
 
 // enqueueFrom queues events of a generation for the reducer. Events of a generation that
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -74,7 +74,7 @@
 func requestEvent(requestID uint64, e cell.Entry) (cell.Event, error) {
 	switch kind, id := jobs.ParseKey(e.Key); kind {
 	case jobs.KindJob:
-		j, err := jobs.Decode[jobs.Job](e.Key, e.Value)
+		j, err := decodeJob(e.Key, e.Value)
 		return cell.SubmitRequested{RequestID: requestID, Job: j, Value: e.Value}, err
 	case jobs.KindCancel:
 		return cell.CancelRequested{RequestID: requestID, ID: id}, nil
