Core: a stored intent is not started on a worker that leaves

Change: the task is queued again, as if the intent had been stored too late.

Result: TestStoredIntentIsNotStartedOnLeavingWorker fails before.

--- a/internal/core/keyed.go
+++ b/internal/core/keyed.go
@@ -59,6 +59,13 @@
 // successor relies on that time.
 func (c *Core) startWithIntent(t *task) {
 	w := c.owner.workers[t.worker]
+	if w != nil && w.leaving {
+		// The worker was chosen before it began to leave, while the intent was stored.
+		c.count("intents_on_leaving_workers", "", 1)
+		c.untrack(t)
+		c.requeue(t, 0)
+		return
+	}
 	if w == nil || c.startNotAfter(w) > t.notAfter+model.WorkerTime(c.cfg.Timing.StartGrace) {
 		// The intent took too long to become durable; the worker would reject the
 		// start.
