Tests: leases, departed workers; two faults that no test rejected

Planted faults that no test of the cell rejected: leases counted from now instead of the confirmed ownership, and directory entries from before a worker's restart. TestLeaseIsCountedFromConfirmedOwnership, TestEntryFromBeforeWorkerRestartIsIgnored and TestReloadDoesNotBringBackWorkerThatLeft do.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -512,3 +512,38 @@
 	}
 	is.Equal(n.cell.jobs["00000000000000aa"].groups[0].doneCount, 0)
 }
+
+// Guards against leases that a paused or cut-off owner extends: a successor counts on
+// their end, MaxLease after the owner's newest stored append.
+func TestLeaseIsCountedFromConfirmedOwnership(t *testing.T) {
+	is := is.New(t)
+	s, n := newSimWithOwner(t, 1, 1)
+	s.run(time.Second)
+	c := n.cell
+	w := c.workerList[0]
+	c.now = c.confirmedOwnerAt.Add(5 * time.Second) // no append was stored since
+	is.True(w.clockAt != 0)
+	sinceReading := c.confirmedOwnerAt.Sub(w.clockAt)
+	is.Equal(c.grantLease(w), w.clock+model.WorkerTime(sinceReading+simLease))
+	is.True(w.leaseEnd <= c.confirmedOwnerAt.Add(c.longestLease()))
+	w.failedRenewals = 1 // its lease may be over, so that it must not be extended
+	is.Equal(c.grantLease(w), model.WorkerTime(0))
+}
+
+// Guards against a worker that is used again by an entry from before its restart or its
+// departure, which the directory may deliver late.
+func TestEntryFromBeforeWorkerRestartIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s, n := newSimWithOwner(t, 1, 1)
+	w := n.cell.workerList[0]
+	old, current := w.info, w.info
+	old.Boot, current.Boot = 10, 20
+	old.Address = "former address"
+	n.send(n.incarnation, WorkerRegistered{Info: current}, WorkerRegistered{Info: old})
+	is.Equal(w.info.Address, current.Address)
+	n.send(n.incarnation, WorkerUnregistered{Name: w.info.Name}, WorkerRegistered{Info: old})
+	is.True(!w.registered)
+	is.True(!w.usable(s.now))
+	n.send(n.incarnation, WorkerRegistered{Info: current})
+	is.True(w.registered)
+}
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -80,3 +80,31 @@
 	_, err = decodeJob("jj", jobs.Encode(jobs.Job{ID: "j", Queue: "q"})) // a tombstone
 	is.NoErr(err)
 }
+
+// Guards against a worker that has left and is used again once the cell is loaded anew.
+func TestReloadDoesNotBringBackWorkerThatLeft(t *testing.T) {
+	is := is.New(t)
+	tel := NewTelemetry(io.Discard, "error", "vm")
+	defer tel.Close()
+	n := New(Settings{Name: "vm", SubmissionPartitions: 1}, Deps{
+		Store: emptyStore{}, Telemetry: tel, Now: func() model.Time { return model.Time(time.Now().UnixNano()) },
+		Decode: Decoders{Worker: func(key string, value []byte) (jobs.WorkerInfo, error) {
+			if string(value) != "valid" {
+				return jobs.WorkerInfo{}, &UnknownEntryError{Key: key}
+			}
+			return jobs.WorkerInfo{Name: model.WorkerName(key)}, nil
+		}},
+	}, "vm-1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, key := range []string{"stays", "leaves", "unreadable"} {
+		n.applyWorker(store.Record{Key: key, Value: []byte("valid")})
+	}
+	n.applyWorker(store.Record{Key: "leaves"})
+	n.applyWorker(store.Record{Key: "unreadable", Value: []byte("{")})
+	n.reloadCell(ctx)
+	is.Equal(len(n.workers), 1)
+	_, ok := n.workers["stays"]
+	is.True(ok)
+	is.Equal(n.dispatcher.workers.Load(), int64(1))
+}
