Standbys list a large directory rarely; loads wait longer for a busy store

Each instance reads the entries of 1,100 workers, written every 1.5 s, and 51 instances came back from a cut and read what they had missed.

Change: an instance that is not the owner lists a directory of more than 256 workers every 20 s and when it becomes the owner; it acts only after that. A list removes workers that are no longer in it, whose removal may have expired unread. While loading, the wait for a page doubles up to 4 s.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -52,8 +52,10 @@
 		case cell.DeleteEntry:
 			go n.removeEntry(g, e)
 		case cell.OwnershipChanged:
+			g.ownedAt.Store(int64(n.deps.Now()))
 			g.owner.Store(e.Owner)
 			if e.Owner {
+				n.directory.readNow()
 				n.client.SetOwner("", "")
 				for _, f := range n.submissionFollowers {
 					f.readNow()
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,18 @@
 	// standbyWorkersReadPause replaces workersReadPause on an instance that is not the
 	// owner.
 	standbyWorkersReadPause = 1200 * time.Millisecond
+	// largeDirectory is the number of workers above which an instance that is not the
+	// owner does not read each change of the directory, and standbyDirectoryRefresh how
+	// often it lists the directory instead. Each worker writes its entry every 1.5 s, and
+	// all instances share the rate at which the store is read: 147 instances that read
+	// the changes of 1,100 workers took half of it.
+	largeDirectory          = 256
+	standbyDirectoryRefresh = 20 * time.Second
+	// minLoadStall is how long the store may send nothing while a stream is loaded. It is
+	// doubled after each failure, up to maxLoadStall: when all instances start at once,
+	// a page waits behind those of the others, and asking again makes them wait longer.
+	minLoadStall = time.Second
+	maxLoadStall = 4 * time.Second
 	// standbyReadPause is the pause between reads of the progress stream on an instance
 	// that is not the owner. It adds to the time that a takeover needs.
 	standbyReadPause = 300 * time.Millisecond
@@ -50,6 +63,8 @@
 	// afterRead, if set, is called after each read that reached the end of the stream,
 	// with the time at which the read was sent.
 	afterRead func(b store.Batch, sentAt model.Time)
+	// loaded, if set, is called after each load with the keys that it returned.
+	loaded    func(keys map[string]int64)
 	ownerMode *atomic.Bool // if set and true, the stream is read with the owner's waits and pauses
 	paused    *atomic.Bool // if set and true, reading is suspended
 
@@ -87,7 +102,7 @@
 	sent := f.n.deps.Now()
 	f.loadedOffsets = map[string]int64{}
 	for {
-		p, err := f.n.deps.Store.Newest(ctx, f.stream, after)
+		p, err := f.n.deps.Store.Newest(ctx, f.stream, after, min(minLoadStall<<min(f.failures, 8), maxLoadStall))
 		if err != nil {
 			f.readFailed(ctx, err)
 			if ctx.Err() != nil {
@@ -109,6 +124,9 @@
 		}
 	}
 	f.setOffset(end)
+	if f.loaded != nil {
+		f.loaded(f.loadedOffsets)
+	}
 	f.caughtUpAt.Store(int64(sent))
 	return true
 }
@@ -125,6 +143,11 @@
 			sleep(ctx, standbyReadPause)
 			continue
 		}
+		if f.stream == store.Workers && f.n.dispatcher.workers.Load() > largeDirectory && !f.n.IsOwner() {
+			f.waitPause(ctx, standbyDirectoryRefresh) // ended by readNow when the instance becomes the owner
+			f.load(ctx)
+			continue
+		}
 		wait, pause := f.wait, f.pause
 		switch {
 		case f.stream == store.Workers && !f.n.IsOwner():
@@ -270,6 +293,23 @@
 	n.enqueue(cell.WorkerRegistered{Info: info})
 }
 
+// removeUnlistedWorkers removes the workers whose entries are not among the given ones of
+// a complete list. Their removal may have expired before it was read.
+func (n *Node) removeUnlistedWorkers(listed map[string]int64) {
+	n.mu.Lock()
+	var gone []model.WorkerName
+	for name := range n.workers {
+		if _, ok := listed[string(name)]; !ok {
+			gone = append(gone, name)
+		}
+	}
+	n.mu.Unlock()
+	slices.Sort(gone)
+	for _, name := range gone {
+		n.removeWorker(name)
+	}
+}
+
 func (n *Node) removeWorker(name model.WorkerName) {
 	n.mu.Lock()
 	_, known := n.workers[name]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 	config              atomic.Pointer[jobs.Config]
 	submissionFollowers []*follower // by partition
 	progressFollower    *follower
+	directory           *follower // of the workers' entries
 	submitter           *submitter
 	requests            openRequests
 	waiters             jobWaiters
@@ -103,10 +104,11 @@
 // generation is the state of one load of the cell: every reload starts a new generation
 // and cancels the context of the previous one.
 type generation struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	owner  atomic.Bool
-	loaded atomic.Bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	owner   atomic.Bool
+	loaded  atomic.Bool
+	ownedAt atomic.Int64 // model.Time at which the instance became the owner
 	// claimSeq is the sequence number of this instance's latest claim.
 	claimSeq atomic.Int64
 }
@@ -133,6 +135,8 @@
 	n.cell, n.generation = n.newCell(), &generation{ctx: context.Background(), cancel: func() {}}
 	n.client = link.NewClient(link.Hello{Name: incarnation, Cores: set.Cores, Bandwidth: set.Bandwidth}, peerHandler{n}, &deps.Traffic.Instances, n.ownerLinkChanged)
 	n.submitter = newSubmitter(n)
+	n.directory = newFollower(n, store.Workers, 0, workersReadPause, n.applyWorker)
+	n.directory.loaded = n.removeUnlistedWorkers
 	return n
 }
 
@@ -147,7 +151,7 @@
 // Run runs the instance until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	go newFollower(n, store.Config, configPollWait, 0, n.applyConfig).run(ctx)
-	go newFollower(n, store.Workers, 0, workersReadPause, n.applyWorker).run(ctx)
+	go n.directory.run(ctx)
 	go n.client.Run(ctx)
 	go n.tick(ctx)
 	go n.monitorBandwidth(ctx)
@@ -315,8 +319,11 @@
 		f := newFollower(n, store.SubmissionPartition(partition), 0, standbySubmissionsReadPause, n.submissionHandler(g, partition))
 		f.ownerMode = &g.owner
 		f.afterRead = func(_ store.Batch, sentAt model.Time) {
-			if g.owner.Load() {
-				n.enqueueFrom(g, cell.SubmissionsCaughtUp{SentAt: reads.record(partition, sentAt)})
+			at := reads.record(partition, sentAt)
+			// A new owner must not use a worker that has begun to drain since this
+			// instance last listed the directory.
+			if g.owner.Load() && n.directory.caughtUpAt.Load() >= g.ownedAt.Load() {
+				n.enqueueFrom(g, cell.SubmissionsCaughtUp{SentAt: at})
 			}
 		}
 		followers[partition] = f
--- a/internal/node/reducer_test.go
+++ b/internal/node/reducer_test.go
@@ -19,7 +19,7 @@
 // emptyStore is a store without records.
 type emptyStore struct{ store.Store }
 
-func (emptyStore) Newest(context.Context, store.Stream, string) (store.Page, error) {
+func (emptyStore) Newest(context.Context, store.Stream, string, time.Duration) (store.Page, error) {
 	return store.Page{}, nil
 }
 
--- a/internal/node/timeouts_test.go
+++ b/internal/node/timeouts_test.go
@@ -36,7 +36,7 @@
 	requested []string // keys after which pages were requested
 }
 
-func (p *pagedStore) Newest(_ context.Context, st store.Stream, after string) (store.Page, error) {
+func (p *pagedStore) Newest(_ context.Context, st store.Stream, after string, _ time.Duration) (store.Page, error) {
 	p.requested = append(p.requested, after)
 	switch {
 	case after == "":
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -79,8 +79,9 @@
 	// Read returns records from an offset on. If there are none, it waits up to wait for
 	// one to be appended.
 	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Batch, error)
-	// Newest returns a page of the latest records of the keys after the given key.
-	Newest(ctx context.Context, s Stream, after string) (Page, error)
+	// Newest returns a page of the latest records of the keys after the given key. It
+	// fails if the store sends nothing for the given time.
+	Newest(ctx context.Context, s Stream, after string, stallTimeout time.Duration) (Page, error)
 }
 
 // ErrorKind classifies a failed call to the store.
