Node: a new owner acts as soon as the directory is read

A new owner whose directory was not read yet when its submissions were waited for the next long poll of the submissions, up to 1 s.

Change: the read of the directory reports the submissions as read, too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,6 +109,7 @@
 	owner   atomic.Bool
 	loaded  atomic.Bool
 	ownedAt atomic.Int64 // model.Time at which the instance became the owner
+	reads   *partitionReads
 	// claimSeq is the sequence number of this instance's latest claim.
 	claimSeq atomic.Int64
 }
@@ -137,6 +138,7 @@
 	n.submitter = newSubmitter(n)
 	n.directory = newFollower(n, store.Workers, 0, workersReadPause, n.applyWorker)
 	n.directory.loaded = n.removeUnlistedWorkers
+	n.directory.afterRead = n.directoryRead
 	return n
 }
 
@@ -289,7 +291,7 @@
 func (n *Node) reloadCell(ctx context.Context) {
 	n.mu.Lock()
 	n.generation.cancel()
-	g := &generation{}
+	g := &generation{reads: &partitionReads{sentAt: make([]model.Time, n.settings.SubmissionPartitions)}}
 	g.ctx, g.cancel = context.WithCancel(ctx)
 	n.generation, n.cell = g, n.newCell()
 	var initial []cell.Event
@@ -313,18 +315,14 @@
 
 // loadCell loads the cell from its streams in the background and then follows them.
 func (n *Node) loadCell(g *generation) {
-	reads := &partitionReads{sentAt: make([]model.Time, n.settings.SubmissionPartitions)}
 	followers := make([]*follower, n.settings.SubmissionPartitions)
 	for partition := range followers {
 		f := newFollower(n, store.SubmissionPartition(partition), 0, standbySubmissionsReadPause, n.submissionHandler(g, partition))
 		f.ownerMode = &g.owner
 		f.afterRead = func(_ store.Batch, sentAt model.Time) {
-			at := reads.record(partition, sentAt)
-			// A new owner must not use a worker that has begun to drain since this
-			// instance last listed the directory.
-			if g.owner.Load() && n.directory.caughtUpAt.Load() >= g.ownedAt.Load() {
-				n.enqueueFrom(g, cell.SubmissionsCaughtUp{SentAt: at})
-			}
+			g.reads.record(partition, sentAt)
+			n.reportCaughtUp(g)
+
 		}
 		followers[partition] = f
 	}
@@ -357,6 +355,25 @@
 	}()
 }
 
+// reportCaughtUp tells an owner how far it has read the submissions. A new owner learns
+// it only once the directory was read as well: it must not use a worker that has begun
+// to drain since this instance last listed the directory.
+func (n *Node) reportCaughtUp(g *generation) {
+	if g.owner.Load() && n.directory.caughtUpAt.Load() >= g.ownedAt.Load() {
+		n.enqueueFrom(g, cell.SubmissionsCaughtUp{SentAt: g.reads.earliest()})
+	}
+}
+
+// directoryRead is called after each read of the directory that reached its end.
+func (n *Node) directoryRead(store.Batch, model.Time) {
+	n.mu.Lock()
+	g := n.generation
+	n.mu.Unlock()
+	if g.reads != nil {
+		n.reportCaughtUp(g)
+	}
+}
+
 // partitionReads holds, for each partition, when the latest read that reached the end of
 // the stream was sent.
 type partitionReads struct {
@@ -364,11 +381,17 @@
 	sentAt []model.Time
 }
 
-// record sets the time for one partition and returns the earliest time of all partitions.
-func (p *partitionReads) record(partition int, sentAt model.Time) model.Time {
+// record sets the time for one partition.
+func (p *partitionReads) record(partition int, sentAt model.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sentAt[partition] = sentAt
+}
+
+// earliest returns the earliest time of all partitions; zero if one was not read yet.
+func (p *partitionReads) earliest() model.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return slices.Min(p.sentAt)
 }
 
