Log what tells a crashed worker from one that is cut off

After "worker unreachable" nothing in the log showed whether the worker had crashed, and "run lost" not how often that happened to a task, so the hypotheses of the incident could not be told apart.

Logs once when another worker answers at the address, and adds the number of lost runs of the task and the time for which the worker had answered to "run lost".

--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -275,7 +275,16 @@
 
 // runLost handles a run that is over although its worker listed no end of it.
 func (c *Cell) runLost(p *placement, reason string) {
-	c.log("run lost", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: reason, Outcome: p.phase.String()})
+	lost := 0
+	if p.group != nil {
+		t := &p.group.tasks[p.ref.Index]
+		t.lostRuns++
+		lost = t.lostRuns
+	}
+	c.log("run lost", p.ref.Job, Fields{
+		Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: reason, Outcome: p.phase.String(),
+		Count: lost, Age: max(0, p.worker.answeredAt.Sub(p.sentAt)),
+	})
 	c.count("runs_lost_total", reason)
 	c.removePlacement(p)
 	c.requeueTask(p, p.checkpoint)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -113,6 +113,7 @@
 	lastFailedRun int
 	placement     *placement
 	checkpoint    string
+	lostRuns      int              // runs that were lost with their worker
 	avoidWorker   model.WorkerName // worker at which the task failed last
 }
 
@@ -183,7 +184,8 @@
 	retryInFlight  bool // the renewal in flight follows a failed one
 	renewSentAt    model.Time
 	renewFailedAt  model.Time
-	failedRenewals int // consecutive renewals without an answer
+	failedRenewals int  // consecutive renewals without an answer
+	replaced       bool // another worker has answered at its address
 	answeredAt     model.Time
 
 	// pausedUntil is when the worker may get new tasks again after it rejected a start or
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -157,6 +157,10 @@
 		if e.StatusOnly {
 			return
 		}
+		if e.Verdict == OtherInstance && !w.replaced {
+			w.replaced = true
+			c.log("another worker answers at the worker's address", "", Fields{Worker: w.info.Name, Count: len(w.runs), Age: c.now.Sub(w.answeredAt)})
+		}
 		w.failedRenewals++
 		w.renewFailedAt = c.now
 		if w.failedRenewals == 1 {
@@ -172,7 +176,7 @@
 		c.health.MarkReachable(c.now, w.info.Name)
 		c.log("worker reachable", "", Fields{Worker: w.info.Name, Epoch: c.epoch, Count: len(e.Running), Age: c.now.Sub(w.answeredAt)})
 	}
-	w.failedRenewals, w.answeredAt = 0, c.now
+	w.failedRenewals, w.answeredAt, w.replaced = 0, c.now, false
 	restarted := w.boot != 0 && e.Boot != 0 && e.Boot != w.boot
 	if restarted {
 		c.workerRestarted(w)
