Tests: tasks that crash worker after worker, failing

The reducer's simulation gets tasks that crash each worker that starts them; the worker comes back under its own name or as another worker at the same address.

--- /dev/null
+++ b/internal/cell/crashing_tasks_test.go
@@ -0,0 +1,155 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+)
+
+// submitJob stores a job with one step.
+func (s *sim) submitJob(queue, payload string, tasks int, cpu, ms int64) jobs.ID {
+	id := jobs.ID(fmt.Sprintf("%016x", s.rnd.Uint64()))
+	j := jobs.Job{ID: id, Queue: queue, Payload: payload, SubmittedMs: time.Duration(s.now).Milliseconds(), Steps: []jobs.Step{
+		{Tasks: tasks, Resources: model.Resources{MilliCPU: cpu, MemoryMB: cpu}, EstimateMs: ms},
+	}}
+	s.submitted[id] = j
+	s.store.submissions = append(s.store.submissions, Entry{Key: jobs.JobKey(id), Value: jobs.Encode(j)})
+	return id
+}
+
+// submitSteadily submits sound urgent and batch jobs at even intervals.
+func (s *sim) submitSteadily(span time.Duration) {
+	for at := time.Duration(0); at < span; at += 200 * time.Millisecond {
+		s.after(at, func() { s.submitJob("urgent", "", 2, 1400, 600) })
+		s.after(at, func() { s.submitJob("batch", "", 2, 1000, 1500) })
+	}
+}
+
+// state returns the state of a job as an instance other than the owner sees it.
+func (s *sim) state(id jobs.ID) jobs.State {
+	for _, n := range s.nodes {
+		if n.alive && !n.owner {
+			v, _ := n.cell.Job(id)
+			return v.State
+		}
+	}
+	return ""
+}
+
+// owner returns the instance that owns the cell.
+func (s *sim) owner() *simNode {
+	for _, n := range s.nodes {
+		if n.alive && n.owner {
+			return n
+		}
+	}
+	return nil
+}
+
+// checkSoundWork checks that every sound job was completed, unless its own attempts were
+// used up.
+func checkSoundWork(t *testing.T, s *sim) {
+	t.Helper()
+	for id, j := range s.submitted {
+		if j.Payload == "" && s.state(id) != jobs.Completed && !s.attemptsUsedUp(j) {
+			t.Errorf("sound job %s of queue %s is %s", id, j.Queue, s.state(id))
+		}
+	}
+	for _, v := range s.violations {
+		t.Error(v)
+	}
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against a task that is started on worker
+// after worker although it crashes each of them, and against giving up the tasks that ran
+// beside it. The worker comes back under its own name or as another worker, and the task
+// crashes it at once or later in its run.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{10 * time.Millisecond, 400 * time.Millisecond} {
+		for _, sameName := range []bool{false, true} {
+			t.Run(fmt.Sprintf("after_%v/same_name_%v", delay, sameName), func(t *testing.T) {
+				s := newSim(1, 3, 8)
+				s.crashDelay, s.sameNameAfterCrash = delay, sameName
+				s.run(2 * time.Second)
+				s.submitSteadily(15 * time.Second)
+				s.run(3 * time.Second)
+				deadly := s.submitJob("urgent", "deadly", 1, 1400, 600)
+				s.run(50 * time.Second)
+				is := is.New(t)
+				is.Equal(s.state(deadly), jobs.Failed)
+				is.Equal(s.truth.workersKilled[jobs.TaskRef{Job: deadly}], 2) // as many as show whose fault it is
+				checkSoundWork(t, s)
+			})
+		}
+	}
+}
+
+// TestCrashesAreCountedAcrossOwners guards against a task that crashes further workers
+// because each new owner counts from zero.
+func TestCrashesAreCountedAcrossOwners(t *testing.T) {
+	s := newSim(3, 4, 8)
+	s.run(2 * time.Second)
+	s.submitSteadily(30 * time.Second)
+	deadly := s.submitJob("urgent", "deadly", 1, 1400, 600)
+	killed := 0
+	for range 60 {
+		s.run(time.Second)
+		if now := s.truth.workersKilled[jobs.TaskRef{Job: deadly}]; now > killed {
+			killed = now
+			s.run(4 * time.Second) // the crash is known and stored
+			o := s.owner()
+			o.kill()
+			s.after(2*time.Second, o.start)
+		}
+	}
+	is := is.New(t)
+	is.Equal(s.state(deadly), jobs.Failed)
+	is.Equal(s.truth.workersKilled[jobs.TaskRef{Job: deadly}], 2)
+	checkSoundWork(t, s)
+}
+
+// TestCutOffWorkersAreNotCrashes guards against giving up the tasks of workers that are
+// cut off again and again, and still run.
+func TestCutOffWorkersAreNotCrashes(t *testing.T) {
+	s := newSim(5, 3, 8)
+	s.run(2 * time.Second)
+	id := s.submitJob("batch", "", 4, 1000, 9000)
+	for range 3 {
+		s.run(4 * time.Second)
+		for _, w := range s.workers {
+			if len(w.runs) > 0 {
+				for _, n := range s.nodes {
+					n.unreachable[w] = true
+					s.after(8*time.Second, func() { delete(n.unreachable, w) })
+				}
+			}
+		}
+		s.run(5 * time.Second)
+	}
+	s.run(40 * time.Second)
+	is.New(t).Equal(s.state(id), jobs.Completed)
+	checkSoundWork(t, s)
+}
+
+// TestRunsOfCrashedWorkerStartAgainBeforeItsLeaseIsOver guards against runs of a crashed
+// worker that wait for the end of its lease although another worker already answers at
+// its address.
+func TestRunsOfCrashedWorkerStartAgainBeforeItsLeaseIsOver(t *testing.T) {
+	s := newSim(7, 3, 8)
+	s.run(2 * time.Second)
+	id := s.submitJob("batch", "", 1, 1000, 4000)
+	s.run(time.Second)
+	ref := jobs.TaskRef{Job: id}
+	for w := range s.truth.running[ref] {
+		w.crashAndReplace(time.Second)
+	}
+	is := is.New(t)
+	is.Equal(len(s.truth.running[ref]), 0)
+	s.run(3 * time.Second) // the lease lasts twice as long
+	is.Equal(len(s.truth.running[ref]), 1)
+}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -39,7 +39,11 @@
 	lastRequestID   uint64
 	requests        map[uint64]func(RequestAnswered)
 	onLog           func(Log)
-	load            *loadRun // if set, run times and eligibility come from a load profile
+	deadlyShare     float64       // of the random jobs, which crash each worker that starts them
+	crashDelay      time.Duration // after which a task that crashes workers does so
+	// sameNameAfterCrash means that a worker that a task has crashed keeps its name.
+	sameNameAfterCrash bool
+	load               *loadRun // if set, run times and eligibility come from a load profile
 }
 
 const simLease = 6 * time.Second
@@ -421,6 +425,10 @@
 	s := n.s
 	w := s.worker(name)
 	timeout := 300 * time.Millisecond
+	if r := w.replacement; r != nil && r.up && !n.unreachable[w] {
+		s.after(2*s.latency(), func() { n.send(incarnation, withVerdict(unanswered, OtherInstance)) })
+		return
+	}
 	if n.unreachable[w] || !w.up {
 		s.after(timeout, func() { n.send(incarnation, unanswered) })
 		return
@@ -465,6 +473,22 @@
 	})
 }
 
+// withVerdict returns the answer to a call with another verdict.
+func withVerdict(e Event, v Verdict) Event {
+	switch e := e.(type) {
+	case Renewed:
+		e.Verdict = v
+		return e
+	case StartAnswered:
+		e.Verdict = v
+		return e
+	case StopAnswered:
+		e.Verdict = v
+		return e
+	}
+	panic(fmt.Sprintf("no call: %T", e))
+}
+
 // deliver delivers an answer unless the worker is unreachable for the instance.
 func (n *simNode) deliver(incarnation int, w *simWorker, e Event) {
 	if n.unreachable[w] {
