Cell: unreachable workers are asked more often as their lease ends

A worker that was cut off for 4 s lost its runs: each renewal to it takes 0.5 s to time out, and the pause between them grows to 1.2 s, so that the first one that reached it could come after the end of its lease of 6 s. Its work then started again elsewhere.

The simulation hid this, since its calls to a worker that is cut off failed after 0.3 s instead of at their timeout. It now tells the two cases apart: a cut swallows calls until their timeout, and the end of a worker's process breaks them at once. With that, TestRunsOfDisconnectedWorkerAreKept fails without the change: four runs lost with their lease. It waits for one timeout and one pause now instead of a second, which is what a retry takes.

In the second half of its lease a worker with runs is asked again 0.3 s after each failed renewal; the bound on renewals to unresponsive workers holds.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -388,7 +388,7 @@
 	n.unreachable[s.workers[0]] = true
 	s.run(4 * time.Second)
 	delete(n.unreachable, s.workers[0])
-	s.run(time.Second)
+	s.run(renewTimeoutMargin + renewRetryPause<<maxRenewDoublings) // the call in flight, and the pause after it
 	is.Equal(len(n.cell.workerList[0].runs), len(s.workers[0].runs))
 	for _, p := range n.cell.workerList[0].runs {
 		is.Equal(p.phase, phaseRunning)
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -336,15 +336,15 @@
 			reply(ClaimAnswered{Epoch: e.Claim.Epoch, SentAt: s.now, Won: ok})
 		})
 	case Renew:
-		n.callWorker(incarnation, e.Worker, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, StatusOnly: e.StatusOnly, Call: e.Call}, s.now)
+		n.callWorker(incarnation, e.Worker, e.Timeout, func(w *simWorker) Event { return w.renew(e) }, Renewed{Worker: e.Worker, SentAt: s.now, Verdict: Unknown, StatusOnly: e.StatusOnly, Call: e.Call})
 	case Start:
-		n.callWorker(incarnation, e.Worker, func(w *simWorker) Event {
+		n.callWorker(incarnation, e.Worker, e.Timeout, func(w *simWorker) Event {
 			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.start(e), Call: e.Call}
-		}, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}, s.now)
+		}, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call})
 	case Stop:
-		n.callWorker(incarnation, e.Worker, func(w *simWorker) Event {
+		n.callWorker(incarnation, e.Worker, e.Timeout, func(w *simWorker) Event {
 			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: w.stop(e), Call: e.Call}
-		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call}, s.now)
+		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call})
 	case QueryEligibility:
 		s.after(e.Expected, func() {
 			a := EligibilityAnswered{Instance: e.Instance, Job: e.Job, Step: e.Step, Occurrence: e.Occurrence, Queried: e.Workers, ValidFor: 2500 * time.Millisecond}
@@ -419,18 +419,25 @@
 	})
 }
 
-// callWorker makes one call to a worker. The request may be lost or late, or get no answer.
-// A request that was sent stays in flight when its sender is killed.
-func (n *simNode) callWorker(incarnation int, name model.WorkerName, call func(*simWorker) Event, unanswered Event, _ model.Time) {
+// callWorker makes one call to a worker. The request may be lost or late, or get no answer:
+// a worker that is cut off leaves the caller waiting until the timeout, and the end of a
+// worker's process breaks its connections. A request that was sent stays in flight when its
+// sender is killed.
+func (n *simNode) callWorker(incarnation int, name model.WorkerName, timeout time.Duration, call func(*simWorker) Event, unanswered Event) {
 	s := n.s
 	w := s.worker(name)
-	timeout := 300 * time.Millisecond
-	if r := w.replacement; r != nil && r.up && !n.unreachable[w] {
+	deadline := s.now.Add(timeout)
+	timeOut := func() { s.after(max(0, deadline.Sub(s.now)), func() { n.send(incarnation, unanswered) }) }
+	broken := func() { s.after(s.latency(), func() { n.send(incarnation, unanswered) }) }
+	switch {
+	case n.unreachable[w]:
+		timeOut()
+		return
+	case w.replacement != nil && w.replacement.up:
 		s.after(2*s.latency(), func() { n.send(incarnation, withVerdict(unanswered, OtherInstance)) })
 		return
-	}
-	if n.unreachable[w] || !w.up {
-		s.after(timeout, func() { n.send(incarnation, unanswered) })
+	case !w.up:
+		broken()
 		return
 	}
 	if _, renew := unanswered.(Renewed); !renew && s.rnd.Float64() < s.lateCallShare {
@@ -440,36 +447,51 @@
 				call(w)
 			}
 		})
-		s.after(timeout, func() { n.send(incarnation, unanswered) })
+		timeOut()
 		return
 	}
+	deliver := func(answer Event) {
+		s.after(s.latency(), func() {
+			if n.unreachable[w] {
+				timeOut()
+				return
+			}
+			n.send(incarnation, answer)
+		})
+	}
 	s.after(s.latency(), func() {
 		if !w.up {
-			s.after(timeout, func() { n.send(incarnation, unanswered) })
+			broken()
 			return
 		}
 		answer := call(w)
-		if r, ok := answer.(Renewed); ok {
-			r.SentAt, r.StatusOnly, r.Call = unanswered.(Renewed).SentAt, unanswered.(Renewed).StatusOnly, unanswered.(Renewed).Call
-			answer = r
-			// A renewal is answered when a run ends, or after its wait. One with a cost
-			// in bytes is answered at once.
-			if len(r.Ended) == 0 && r.Verdict == Accepted && r.Call.Bytes == 0 {
-				w.waitingRenewals = append(w.waitingRenewals, func() {
-					if !w.up {
-						s.after(timeout, func() { n.send(incarnation, unanswered) })
-						return
-					}
-					again := w.report(r)
-					again.SentAt = r.SentAt
-					s.after(s.latency(), func() { n.deliver(incarnation, w, again) })
-				})
-				waiting := len(w.waitingRenewals)
-				s.after(700*time.Millisecond, func() { w.answerRenewals(waiting) })
-				return
-			}
+		r, isRenewal := answer.(Renewed)
+		if !isRenewal {
+			deliver(answer)
+			return
+		}
+		asked := unanswered.(Renewed)
+		r.SentAt, r.StatusOnly, r.Call = asked.SentAt, asked.StatusOnly, asked.Call
+		// A renewal is answered when a run ends, or after its wait. One with a cost in
+		// bytes is answered at once.
+		if len(r.Ended) > 0 || r.Verdict != Accepted || r.Call.Bytes > 0 {
+			deliver(r)
+			return
 		}
-		s.after(s.latency(), func() { n.deliver(incarnation, w, answer) })
+		w.waitingRenewals = append(w.waitingRenewals, func() {
+			switch {
+			case n.unreachable[w]:
+				timeOut()
+			case !w.up:
+				broken()
+			default:
+				again := w.report(r)
+				again.SentAt = r.SentAt
+				deliver(again)
+			}
+		})
+		waiting := len(w.waitingRenewals)
+		s.after(700*time.Millisecond, func() { w.answerRenewals(waiting) })
 	})
 }
 
@@ -489,18 +511,6 @@
 	panic(fmt.Sprintf("no call: %T", e))
 }
 
-// deliver delivers an answer unless the worker is unreachable for the instance.
-func (n *simNode) deliver(incarnation int, w *simWorker, e Event) {
-	if n.unreachable[w] {
-		if r, ok := e.(Renewed); ok {
-			e = Renewed{Worker: r.Worker, SentAt: r.SentAt, Verdict: Unknown, StatusOnly: r.StatusOnly, Call: r.Call}
-		}
-		n.s.after(300*time.Millisecond, func() { n.send(incarnation, e) })
-		return
-	}
-	n.send(incarnation, e)
-}
-
 // submitToOwner asks the owner, if there is one, to store an entry. If the owner does not
 // confirm it within a second, the entry is stored directly.
 func (s *sim) submitToOwner(e Entry) {
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -50,6 +50,9 @@
 		return false
 	case w.failedRenewals > 0:
 		pause := renewRetryPause << min(w.failedRenewals-1, maxRenewDoublings)
+		if len(w.runs) > 0 && w.leaseEnd.Sub(c.now) < c.cfg.MaxLease/2 {
+			pause = renewRetryPause // its runs end with the lease
+		}
 		return c.now.Sub(w.renewFailedAt) >= pause && c.renewRetries < c.pacer.MaxUnresponsiveRenewals()
 	case w.seenEndSeq > w.storedEndSeq:
 		// The newest ended runs are not stored yet. The worker would list them again at
