Cell: tasks that crash worker after worker are given up

Cause: a run counts against its task only if its worker reports the end as failed. A run that is lost with its worker was started again without any count, and the crash was not recognised at all: the worker comes back under another name, and its runs waited for the end of its lease.

Another worker that answers at the address proves that the first one is gone, as a restart under the same name does, so its runs start again at once. Each crash is counted for the tasks that ran there, and the runs that began last are suspected (internal/policy/blame). A suspected task starts again on the worker with the least work, which starts nothing else meanwhile, so that a second crash shows whose fault it is; then its job fails. Many workers that vanish at once, workers that drain and runs that lasted long are no reason to suspect a task. A crash counts as certain only if contact was lost by a broken connection: a worker that was cut off first may have ended its runs unseen. The counts are stored with the progress, as JSON, which earlier builds read without them.

--- /dev/null
+++ b/internal/cell/crashes.go
@@ -0,0 +1,293 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/policy/blame"
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
+)
+
+const (
+	// simultaneous is how close together workers become unreachable that crash for the
+	// same reason.
+	simultaneous = 100 * time.Millisecond
+	// probationDivisor bounds the workers that start nothing beside the run of a suspected
+	// task, as a share of all workers.
+	probationDivisor = 4
+)
+
+// workerReplaced handles an answer of another worker at a worker's address. It proves that
+// the worker's process has ended, and its runs with it, so that they need not wait for
+// the end of its lease.
+func (c *Cell) workerReplaced(w *worker) {
+	w.replaced = true
+	c.log("another worker answers at the worker's address", "", Fields{Worker: w.info.Name, Count: len(w.runs), Age: c.now.Sub(w.answeredAt)})
+	victims := append(w.lapsed, sentPlacements(w)...)
+	c.recordCrash(w, victims, "replaced")
+	for _, p := range sortedPlacements(w) {
+		switch {
+		case w.runs[p.ref] != p:
+		case p.phase == phasePlanned:
+			c.dropUnsent(p, "worker replaced")
+		default:
+			c.runLost(p, "worker replaced")
+		}
+	}
+}
+
+// sentPlacements returns the placements at a worker whose start was sent.
+func sentPlacements(w *worker) []*placement {
+	var out []*placement
+	for _, p := range sortedPlacements(w) {
+		if p.phase != phasePlanned {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// runsNotListed returns the runs of a restarted worker that its new process doesn't list.
+func (c *Cell) runsNotListed(w *worker, e Renewed) []*placement {
+	listed := make(map[jobs.TaskRef]int, len(e.Running))
+	for i := range e.Running {
+		listed[e.Running[i].Task] = e.Running[i].Run
+	}
+	out := w.lapsed
+	for _, p := range sentPlacements(w) {
+		if listed[p.ref] != p.run && p.confirmedAt <= e.SentAt {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// recordCrash records the crash of a worker for the runs that were lost with it, and gives
+// up the tasks that are to blame for several crashes.
+func (c *Cell) recordCrash(w *worker, victims []*placement, reason string) {
+	w.lapsed = nil
+	if w.info.Draining || len(victims) == 0 {
+		return // a worker that drains ends on purpose
+	}
+	// A worker that was cut off before it crashed may have ended its runs in between.
+	crashSeen := w.failedRenewals == 0 || w.disconnected
+	at := w.unreachableAt
+	if at == 0 {
+		at = c.now
+	}
+	runs := make([]blame.Run, 0, len(victims))
+	lost := victims[:0]
+	for _, p := range victims {
+		if p.group == nil || p.group.job.state.Final() || p.crashCounted {
+			continue
+		}
+		since := p.sentAt
+		if since == 0 {
+			since = p.plannedAt // inherited
+		}
+		lost = append(lost, p)
+		runs = append(runs, blame.Run{Job: p.ref.Job, Age: max(0, at.Sub(since)), Confirmed: p.began && !p.stopAccepted && crashSeen})
+	}
+	common := w.unreachableAt != 0 && blame.CommonCause(c.unreachableAround(w), len(c.workerList))
+	var suspects []int
+	certain := false
+	if !common {
+		suspects, certain = blame.Suspects(runs)
+	}
+	c.count("worker_crashes_total", reason)
+	c.log("worker crashed", "", Fields{Worker: w.info.Name, Reason: reason, Outcome: crashCause(common, suspects, certain), Count: len(lost), Age: c.now.Sub(at)})
+	for i, p := range lost {
+		c.countCrash(p, runs[i])
+	}
+	for _, i := range suspects {
+		c.suspect(lost[i], runs[i].Age, certain)
+	}
+	for _, p := range lost {
+		c.giveUpIfToBlame(p)
+	}
+}
+
+func crashCause(common bool, suspects []int, certain bool) string {
+	switch {
+	case common:
+		return "many workers at once"
+	case len(suspects) == 0:
+		return "no task suspected"
+	case certain:
+		return "tasks of one job"
+	}
+	return "one of several jobs"
+}
+
+// unreachableAround returns how many workers became unreachable at about the same moment
+// as a worker, itself included.
+func (c *Cell) unreachableAround(w *worker) (n int) {
+	for _, o := range c.workerList {
+		if o.unreachableAt != 0 && o.unreachableAt.Sub(w.unreachableAt).Abs() <= simultaneous {
+			n++
+		}
+	}
+	return n
+}
+
+// crashRecord returns the crash record of a placement's task.
+func (p *placement) crashRecord() *jobs.CrashRecord {
+	t := &p.group.tasks[p.ref.Index]
+	if t.crash == nil {
+		t.crash = &jobs.CrashRecord{}
+		p.group.hasCrashed = true
+	}
+	return t.crash
+}
+
+func (c *Cell) countCrash(p *placement, r blame.Run) {
+	record := p.crashRecord()
+	p.crashCounted = true
+	if p.presumed {
+		p.presumed = false
+		record.Presumed--
+	}
+	switch {
+	case !blame.Counts(r.Age):
+	case r.Confirmed:
+		record.Crashes++
+	default:
+		record.Presumed++
+	}
+	c.markDirty(p.group.job)
+}
+
+func (c *Cell) suspect(p *placement, age time.Duration, certain bool) {
+	record := p.crashRecord()
+	record.Suspect, record.AgeMs = true, age.Milliseconds()
+	if certain {
+		record.Blamed++
+	}
+	c.log("task suspected of crashing its worker", p.ref.Job, Fields{
+		Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Count: record.Crashes, Age: age,
+	})
+}
+
+// presumeCrash counts a run that was lost with its worker's lease, which the worker may
+// have outlived.
+func (c *Cell) presumeCrash(p *placement) {
+	if p.group == nil || p.group.job.state.Final() || p.sentAt == 0 || !blame.Counts(p.worker.unreachableAt.Sub(p.sentAt)) {
+		return
+	}
+	p.worker.lapsed = append(p.worker.lapsed, p)
+	p.presumed = true
+	p.crashRecord().Presumed++
+	c.giveUpIfToBlame(p)
+}
+
+// retractLapsed withdraws what was presumed of a worker that was only unreachable.
+func (w *worker) retractLapsed() {
+	for _, p := range w.lapsed {
+		if p.presumed {
+			p.presumed = false
+			p.group.tasks[p.ref.Index].crash.Presumed--
+		}
+	}
+	w.lapsed = nil
+}
+
+func (c *Cell) giveUpIfToBlame(p *placement) {
+	if g := p.group; !g.job.state.Final() && blame.GiveUp(p.crashRecord()) {
+		c.count("tasks_given_up_total", g.job.queue)
+		c.finish(g.job, jobs.Failed, "a task crashes its workers")
+	}
+}
+
+func (t *task) suspected() bool { return t.crash != nil && blame.Suspected(t.crash) }
+
+// placeSuspects places the suspected tasks of a group, each on the candidate with the
+// least work, which starts nothing else until the task has proved harmless. It returns the
+// number of such tasks that were pending, and of those it placed.
+func (c *Cell) placeSuspects(g *group, d fit.Demand, candidates []fit.Candidate, workers []*worker, limit int) (pending, placed int) {
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.state != taskPending || !t.suspected() {
+			continue
+		}
+		pending++
+		if placed == limit || c.probations >= max(1, len(c.workerList)/probationDivisor) {
+			continue
+		}
+		at := quietest(d, candidates, workers)
+		if at < 0 || c.hasForeignRun(g, []int{at}, candidates, workers) {
+			continue
+		}
+		candidates[at].TaskLimit = 0 // for the other tasks of the group
+		c.place(g, i, workers[candidates[at].Index], 0)
+		c.beginProbation(t.placement)
+		placed++
+	}
+	if placed > 0 {
+		c.markDirty(g.job)
+	}
+	return pending, placed
+}
+
+// quietest returns the candidate with room for a task that has the least CPU in use, or -1.
+// A worker with starts under way is left out: it could not be told which of them, and the
+// task, has crashed it.
+func quietest(d fit.Demand, candidates []fit.Candidate, workers []*worker) int {
+	best := -1
+	inUse := func(at int) int64 { return candidates[at].Capacity.MilliCPU - candidates[at].Free.MilliCPU }
+	for i := range candidates {
+		if candidates[i].TaskLimit == 0 || fit.Count(d, candidates[i].Free) == 0 || workers[candidates[i].Index].hasUnconfirmedStart() {
+			continue
+		}
+		if best < 0 || inUse(i) < inUse(best) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (w *worker) hasUnconfirmedStart() bool {
+	for _, p := range w.runs {
+		if p.phase == phasePlanned || p.phase == phaseStarting {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Cell) beginProbation(p *placement) {
+	if p.worker.probation == nil {
+		p.worker.probation = p
+		c.probations++
+	}
+}
+
+// beginGangProbation keeps other starts off the workers of a gang with a suspected member.
+func (c *Cell) beginGangProbation(g *group) {
+	suspected := false
+	for i := range g.tasks {
+		suspected = suspected || g.tasks[i].suspected()
+	}
+	for i := range g.tasks {
+		if p := g.tasks[i].placement; suspected && p != nil {
+			c.beginProbation(p)
+		}
+	}
+}
+
+// endProbation lets a worker start other work beside the run of a suspected task that has
+// proved harmless.
+func (c *Cell) endProbation(w *worker) {
+	p := w.probation
+	if p == nil || p.phase != phaseRunning {
+		return
+	}
+	record := p.crashRecord()
+	d, wholeRun := blame.Probation(record)
+	if wholeRun || w.answeredAt.Sub(p.confirmedAt) < d {
+		return // a worker that has not answered since may have crashed
+	}
+	record.Suspect, record.Blamed = false, 0
+	w.probation = nil
+	c.probations--
+	c.scheduleNeeded = true
+}
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -63,6 +63,7 @@
 		}
 		target := &g.tasks[t.Index]
 		target.run, target.failures, target.lastFailedRun, target.checkpoint = t.Run, t.Failures, t.FailedRun, t.Checkpoint
+		target.crash, g.hasCrashed = t.Crash, g.hasCrashed || t.Crash != nil
 		if t.Worker != "" {
 			pl := c.newPlacement(g, t.Index, c.getOrAddWorker(t.Worker), t.Run)
 			pl.phase = phaseInherited
@@ -166,6 +167,10 @@
 	c.scheduleNeeded = true
 	delete(p.worker.runs, p.ref)
 	p.worker.used = p.worker.used.Sub(p.need)
+	if p.worker.probation == p {
+		p.worker.probation = nil
+		c.probations--
+	}
 	if g := p.group; g != nil {
 		g.activePlacements--
 		if g.job.state.Final() && g.activePlacements == 0 {
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -326,13 +326,14 @@
 			}
 		}
 		if t.run == 0 && t.checkpoint == "" {
-			continue
+			continue // also has no crash record
 		}
 		touched = true
 		tp := jobs.TaskProgress{Index: i, Run: t.run, Failures: t.failures, FailedRun: t.lastFailedRun, Checkpoint: t.checkpoint}
 		if t.placement != nil {
 			tp.Worker = t.placement.worker.info.Name
 		}
+		tp.Crash = t.crash
 		gp.Tasks = append(gp.Tasks, tp)
 	}
 	if !touched {
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -129,7 +129,7 @@
 	if p.phase == phaseStarting {
 		c.observe("start_seconds", "", c.now.Sub(p.sentAt))
 	}
-	p.phase, p.confirmedAt, p.progressAt = phaseRunning, c.now, c.now
+	p.phase, p.began, p.confirmedAt, p.progressAt = phaseRunning, true, c.now, c.now
 	if j := p.group.job; j.state == jobs.Queued {
 		j.state, j.started = jobs.Running, true
 		c.observe("job_wait_seconds", j.queue, c.now.Sub(j.arrived))
@@ -297,6 +297,7 @@
 // their tasks are placed again.
 func (c *Cell) checkRuns() {
 	for _, w := range c.workerList {
+		c.endProbation(w)
 		due := false
 		for _, p := range w.runs {
 			due = due || c.stopRetryDue(p) || c.stalled(p)
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -199,18 +199,27 @@
 		return
 	}
 	candidates, workers := c.candidates(g, q)
+	suspects, placedSuspects := 0, 0
+	if g.hasCrashed && !g.step.Gang {
+		suspects, placedSuspects = c.placeSuspects(g, d, candidates, workers, limit)
+	}
+	waiting := suspects - placedSuspects
+	wanted := min(limit-placedSuspects, g.pending-waiting)
 	var chosen []int
 	if len(candidates) > 0 {
 		if g.step.Gang {
 			chosen = fit.PlaceGang(d, candidates, g.pending)
 		} else {
-			chosen = fit.Place(d, candidates, limit)
+			chosen = fit.Place(d, candidates, wanted)
 		}
 	}
-	if len(chosen) < limit && q.Eligibility.Required() {
+	if len(chosen) < wanted+waiting && q.Eligibility.Required() {
 		c.queryEligibility(g, q)
 	}
 	if len(chosen) == 0 {
+		if placedSuspects > 0 {
+			return
+		}
 		c.reserve(g, q, d)
 		return
 	}
@@ -224,11 +233,14 @@
 	}
 	next := 0
 	for _, at := range chosen {
-		for g.tasks[next].state != taskPending {
+		for g.tasks[next].state != taskPending || !g.step.Gang && g.tasks[next].suspected() {
 			next++
 		}
 		c.place(g, next, workers[candidates[at].Index], run)
 	}
+	if g.step.Gang && g.hasCrashed {
+		c.beginGangProbation(g)
+	}
 	c.markDirty(g.job)
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -50,6 +50,7 @@
 	step       *jobs.Step
 	tasks      []task
 	hasFailed  bool // a task has failed, so that some workers are to be avoided
+	hasCrashed bool // a task has a crash record
 	pending    int  // number of tasks that wait for a placement
 	doneCount  int
 	readyAt    model.Time // since when its tasks may start; zero before
@@ -113,8 +114,9 @@
 	lastFailedRun int
 	placement     *placement
 	checkpoint    string
-	lostRuns      int              // runs that were lost with their worker
-	avoidWorker   model.WorkerName // worker at which the task failed last
+	lostRuns      int               // runs that were lost with their worker
+	crash         *jobs.CrashRecord // nil as long as no worker has crashed under it
+	avoidWorker   model.WorkerName  // worker at which the task failed last
 }
 
 // phase is the state of a placement.
@@ -157,7 +159,10 @@
 	percentAtStart   int        // percent when the run was first listed, as of a resumed one
 	progressAt       model.Time // when percent last increased
 	checkpoint       string
-	unlistedRenewals int // answers since its confirmation that did not list it
+	unlistedRenewals int  // answers since its confirmation that did not list it
+	began            bool // the worker has confirmed the run
+	crashCounted     bool // in the crash record of its task
+	presumed         bool // counted as a presumed crash of its worker
 }
 
 // worker is one worker of the cell.
@@ -183,10 +188,20 @@
 	renewInFlight  bool
 	retryInFlight  bool // the renewal in flight follows a failed one
 	renewSentAt    model.Time
+	renewTimeout   time.Duration // of the renewal in flight
 	renewFailedAt  model.Time
-	failedRenewals int  // consecutive renewals without an answer
-	replaced       bool // another worker has answered at its address
-	answeredAt     model.Time
+	unreachableAt  model.Time // first renewal without an answer since the last one with an answer
+	failedRenewals int        // consecutive renewals without an answer
+	replaced       bool       // another worker has answered at its address
+	// disconnected means that the first renewal without an answer failed before its timeout,
+	// as when the worker's process ends, and not when it is cut off.
+	disconnected bool
+	// lapsed are runs that were lost with the worker's lease, while it was not known
+	// whether it had crashed.
+	lapsed []*placement
+	// probation is the run of a suspected task, beside which the worker starts nothing.
+	probation  *placement
+	answeredAt model.Time
 
 	// pausedUntil is when the worker may get new tasks again after it rejected a start or
 	// was found slow.
@@ -201,7 +216,7 @@
 
 // usable reports whether a worker may get new tasks.
 func (w *worker) usable(now model.Time) bool {
-	return w.registered && !w.info.Draining && w.epochAccepted && w.failedRenewals == 0 && now >= w.pausedUntil
+	return w.registered && !w.info.Draining && w.epochAccepted && w.failedRenewals == 0 && now >= w.pausedUntil && w.probation == nil
 }
 
 // role is the instance's role in the cell.
@@ -263,6 +278,7 @@
 	candidateBuffer   []fit.Candidate    // reused by candidates, with workerBuffer
 	workerBuffer      []*worker
 	queryBuffer       []*worker // reused by workersToQuery
+	probations        int       // workers with a run of a suspected task
 	reservations      int       // gangs with reserved workers in this scheduling pass
 	dirtyJobs         []*job
 	firstStarts       []firstStart // that may be in no append yet, oldest first
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -105,6 +105,7 @@
 		r.Call = c.beginImmediateCall()
 	}
 	r.Timeout = r.Wait + c.pacer.Timeout(renewTimeoutMargin)
+	w.renewTimeout = r.Timeout
 	c.emit(r)
 }
 
@@ -160,16 +161,21 @@
 		if e.StatusOnly {
 			return
 		}
-		if e.Verdict == OtherInstance && !w.replaced {
-			w.replaced = true
-			c.log("another worker answers at the worker's address", "", Fields{Worker: w.info.Name, Count: len(w.runs), Age: c.now.Sub(w.answeredAt)})
-		}
 		w.failedRenewals++
 		w.renewFailedAt = c.now
 		if w.failedRenewals == 1 {
+			if w.answeredAt != 0 {
+				// A new owner finds all workers that are gone at the same time, whenever
+				// they crashed.
+				w.unreachableAt = c.now
+			}
+			w.disconnected = c.now.Sub(w.renewSentAt) < w.renewTimeout-TickInterval
 			c.health.MarkUnreachable(c.now, w.info.Name)
 			c.log("worker unreachable", "", Fields{Worker: w.info.Name, Outcome: e.Verdict.String(), Count: len(w.runs), Age: c.now.Sub(w.answeredAt)})
 		}
+		if e.Verdict == OtherInstance && !w.replaced {
+			c.workerReplaced(w)
+		}
 	}
 }
 
@@ -179,11 +185,14 @@
 		c.health.MarkReachable(c.now, w.info.Name)
 		c.log("worker reachable", "", Fields{Worker: w.info.Name, Epoch: c.epoch, Count: len(e.Running), Age: c.now.Sub(w.answeredAt)})
 	}
-	w.failedRenewals, w.answeredAt, w.replaced = 0, c.now, false
 	restarted := w.boot != 0 && e.Boot != 0 && e.Boot != w.boot
 	if restarted {
+		c.recordCrash(w, c.runsNotListed(w, e), "restarted")
 		c.workerRestarted(w)
+	} else {
+		w.retractLapsed()
 	}
+	w.failedRenewals, w.answeredAt, w.replaced, w.unreachableAt = 0, c.now, false, 0
 	if e.Boot != 0 {
 		w.boot = e.Boot
 	}
@@ -354,6 +363,7 @@
 				continue
 			}
 			c.runLost(p, "lease over")
+			c.presumeCrash(p)
 		}
 	}
 	for _, name := range c.health.StartDueProbes(c.now) {
--- a/internal/jobs/entry.go
+++ b/internal/jobs/entry.go
@@ -161,6 +161,17 @@
 	// certainly not running.
 	Worker     model.WorkerName `json:"w,omitempty"`
 	Checkpoint string           `json:"c,omitempty"`
+	// Crash is set for a task that may have crashed its workers.
+	Crash *CrashRecord `json:"z,omitempty"`
+}
+
+// CrashRecord counts the workers that crashed while they ran a task.
+type CrashRecord struct {
+	Crashes  int   `json:"n,omitempty"`
+	Presumed int   `json:"p,omitempty"` // further lost runs that may have ended in a crash
+	Blamed   int   `json:"b,omitempty"` // crashes for which no task of another job can be to blame
+	Suspect  bool  `json:"s,omitempty"` // may be to blame for the last crash
+	AgeMs    int64 `json:"a,omitempty"` // of the run at the last crash, in milliseconds
 }
 
 // Bitmap is a set of small non-negative integers. In JSON, it is a string of 64-bit
--- /dev/null
+++ b/internal/policy/blame/blame_test.go
@@ -0,0 +1,79 @@
+package blame
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+)
+
+// TestSuspects guards against suspecting runs that have long proved harmless, and against
+// blaming a task for a crash that another one may have caused.
+func TestSuspects(t *testing.T) {
+	run := func(job jobs.ID, age time.Duration, confirmed bool) Run { return Run{job, age, confirmed} }
+	for name, c := range map[string]struct {
+		runs     []Run
+		suspects []int
+		certain  bool
+	}{
+		"none":                   {},
+		"alone":                  {[]Run{run("a", 20*time.Millisecond, true)}, []int{0}, true},
+		"newest beside old ones": {[]Run{run("a", 3*time.Second, true), run("b", 20*time.Millisecond, true)}, []int{1}, true},
+		"two new ones":           {[]Run{run("a", 90*time.Millisecond, true), run("b", 20*time.Millisecond, true)}, []int{0, 1}, false},
+		"two new ones of a job":  {[]Run{run("a", 90*time.Millisecond, true), run("a", 20*time.Millisecond, true)}, []int{0, 1}, true},
+		"start after the crash":  {[]Run{run("a", 400*time.Millisecond, true), run("b", 0, false)}, []int{0, 1}, false},
+		"none certainly there":   {[]Run{run("a", 400*time.Millisecond, false), run("b", time.Second, false)}, []int{0}, true},
+		"all too old":            {[]Run{run("a", 11*time.Second, true), run("b", 12*time.Second, true)}, nil, false},
+		"later in a long run":    {[]Run{run("a", 2*time.Second, true), run("b", 3*time.Second, true), run("c", 9*time.Second, true)}, []int{0, 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			suspects, certain := Suspects(c.runs)
+			is.Equal(suspects, c.suspects)
+			is.Equal(certain, c.certain)
+		})
+	}
+}
+
+// TestGiveUp guards against giving up a task under which fewer than two workers have
+// crashed, or one that only ran beside others, and against starting a task more than
+// twice after three crashes.
+func TestGiveUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		record jobs.CrashRecord
+		giveUp bool
+	}{
+		"one crash, to blame":        {jobs.CrashRecord{Crashes: 1, Blamed: 1, Suspect: true}, false},
+		"two crashes, only beside":   {jobs.CrashRecord{Crashes: 2, Suspect: true}, false},
+		"two crashes, to blame once": {jobs.CrashRecord{Crashes: 2, Blamed: 1}, true},
+		"three losses, not certain":  {jobs.CrashRecord{Crashes: 1, Presumed: 2, Blamed: 1}, false},
+		"four losses":                {jobs.CrashRecord{Crashes: 2, Presumed: 2}, true},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(GiveUp(&c.record), c.giveUp) })
+	}
+}
+
+// TestCommonCause guards against suspecting tasks when a rack or many workers fail at once.
+func TestCommonCause(t *testing.T) {
+	is := is.New(t)
+	is.True(!CommonCause(1, 8))
+	is.True(!CommonCause(3, 48))
+	is.True(CommonCause(7, 48))     // 15% of a small site
+	is.True(!CommonCause(20, 1100)) // tasks that crash workers at a high rate
+	is.True(CommonCause(165, 1100))
+}
+
+// TestProbation guards against a worker that is kept for one task longer than needed, and
+// against neighbours beside a task under which several workers have crashed.
+func TestProbation(t *testing.T) {
+	is := is.New(t)
+	d, whole := Probation(&jobs.CrashRecord{Crashes: 1, Suspect: true, AgeMs: 20})
+	is.Equal(d, minProbation)
+	is.True(!whole)
+	d, _ = Probation(&jobs.CrashRecord{Crashes: 1, Suspect: true, AgeMs: 1500})
+	is.Equal(d, 3*time.Second)
+	_, whole = Probation(&jobs.CrashRecord{Crashes: 2})
+	is.True(whole)
+}
