Cell: crashes are counted although the owner changes before they are known

A task could crash six workers when the owner was replaced after each crash: a worker that restarts under its own name lists no runs to the new owner, which took the run for one whose start was never sent and counted nothing.

Such a run is presumed lost in a crash now, unless its worker has been running since before the job was submitted.

--- a/internal/cell/crashes.go
+++ b/internal/cell/crashes.go
@@ -12,6 +12,8 @@
 	// simultaneous is how close together workers become unreachable that crash for the
 	// same reason.
 	simultaneous = 100 * time.Millisecond
+	// maxClockError bounds how far the clocks of VMs and workers, which may jump, are apart.
+	maxClockError = 5 * time.Second
 	// probationDivisor bounds the workers that start nothing beside the run of a suspected
 	// task, as a share of all workers.
 	probationDivisor = 4
@@ -168,14 +170,25 @@
 	})
 }
 
-// presumeCrash counts a run that was lost with its worker's lease, which the worker may
-// have outlived.
-func (c *Cell) presumeCrash(p *placement) {
-	if p.group == nil || p.group.job.state.Final() || p.sentAt == 0 || !blame.Counts(p.worker.unreachableAt.Sub(p.sentAt)) {
+// presumeCrash counts a lost run whose worker may have crashed under it. With lapsed, the
+// run was lost with the worker's lease, and an answer of the worker may still show that it
+// has not crashed. Otherwise it is a run of an earlier owner that the worker doesn't know:
+// its start was never sent, or the worker has restarted since.
+func (c *Cell) presumeCrash(p *placement, lapsed bool) {
+	w := p.worker
+	if p.group == nil || p.group.job.state.Final() || p.crashCounted {
 		return
 	}
-	p.worker.lapsed = append(p.worker.lapsed, p)
-	p.presumed = true
+	switch {
+	case !lapsed && w.boot != 0 && w.boot < p.group.job.submittedMs-maxClockError.Milliseconds():
+		return // it has been running since before the job was submitted
+	case lapsed:
+		if p.sentAt == 0 || !blame.Counts(w.unreachableAt.Sub(p.sentAt)) {
+			return
+		}
+		w.lapsed = append(w.lapsed, p)
+		p.presumed = true
+	}
 	p.crashRecord().Presumed++
 	c.giveUpIfToBlame(p)
 }
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -300,6 +300,7 @@
 			// The worker has accepted this epoch, so the earlier owner's start will be
 			// rejected from now on.
 			c.runLost(p, "not at the worker")
+			c.presumeCrash(p, false)
 		case phaseRunning, phaseStopping:
 			// Only a list that was requested after the confirmation is conclusive.
 			if p.confirmedAt == 0 || e.SentAt < p.confirmedAt {
@@ -363,7 +364,7 @@
 				continue
 			}
 			c.runLost(p, "lease over")
-			c.presumeCrash(p)
+			c.presumeCrash(p, true)
 		}
 	}
 	for _, name := range c.health.StartDueProbes(c.now) {
