Cell: a stored placement is not started on a worker that has shrunk

The platform's workers may shrink while they run. Placing follows the newest directory entry, but a placement that waits to be stored was started by the capacity that its worker had before: with a store that answers after a second, four of six starts went to a worker without room (LIMIT, once the platform's grace for such starts is over).

Starts are dropped while their worker holds more than its capacity, and the task is placed again. The owner logs the change. The histories with crashing tasks also shrink and grow workers.

--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -101,6 +101,15 @@
 	for range faults {
 		s.after(time.Duration(s.rnd.Int64N(int64(span))), s.injectFault)
 	}
+	if deadlyShare > 0 {
+		for range 3 {
+			s.after(time.Duration(s.rnd.Int64N(int64(span))), func() {
+				w := s.workers[s.rnd.IntN(len(s.workers))]
+				s.resize(w, 4000+s.rnd.Int64N(8000), time.Duration(s.rnd.Int64N(int64(1500*time.Millisecond))))
+				s.after(10*time.Second, func() { s.resize(w, 16000, 500*time.Millisecond) })
+			})
+		}
+	}
 	s.run(span)
 	s.lateCallShare, s.lostAnswerShare, s.storeDown, s.storeRefuses = 0, 0, false, false
 	for _, n := range s.nodes {
@@ -281,7 +290,7 @@
 
 // TestHistoriesWithTasksThatCrashWorkers guards against tasks that crash worker after
 // worker without end, and against work that is given up or lost because it ran beside
-// them, while instances, workers and the store fail as well.
+// them, while instances, workers and the store fail as well and workers shrink and grow.
 func TestHistoriesWithTasksThatCrashWorkers(t *testing.T) { runHistories(t, 30, 0.1) }
 
 func runHistories(t *testing.T, count int, deadlyShare float64) {
--- a/internal/cell/replay.go
+++ b/internal/cell/replay.go
@@ -152,12 +152,23 @@
 	}
 	wasDraining := w.info.Draining
 	appeared := !w.registered
+	if c.ownerReady && !appeared && info.Capacity != w.info.Capacity {
+		c.log("worker capacity changed", "", Fields{Worker: info.Name, Count: int(info.Capacity.MilliCPU), Outcome: resizeText(w, info)})
+	}
 	w.info, w.registered = info, true
 	if appeared || wasDraining != info.Draining {
 		c.log("worker directory entry changed", "", Fields{Worker: info.Name, Outcome: drainingText(info.Draining)})
 	}
 }
 
+// resizeText says whether a worker of a new size still holds what runs on it.
+func resizeText(w *worker, info jobs.WorkerInfo) string {
+	if w.used.Fits(info.Capacity) {
+		return "fits"
+	}
+	return "over capacity"
+}
+
 func drainingText(draining bool) string {
 	if draining {
 		return "draining"
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -47,6 +47,10 @@
 		c.dropUnsent(p, "placement too old")
 		return
 	}
+	if w.overCapacity() {
+		c.dropUnsent(p, "worker has shrunk")
+		return
+	}
 	perm, needed := g.permitAt(w), c.queueOf(g.job).Eligibility.Required()
 	if needed && (perm.boot != w.boot || c.now >= perm.expiresAt) {
 		c.dropUnsent(p, "permit expired")
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -214,6 +214,13 @@
 // free returns the free resources of a worker.
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
 
+// overCapacity reports whether a worker holds more than its capacity, which may shrink
+// while it runs.
+func (w *worker) overCapacity() bool {
+	free := w.free()
+	return free.MilliCPU < 0 || free.MemoryMB < 0 || free.Accelerators < 0
+}
+
 // usable reports whether a worker may get new tasks.
 func (w *worker) usable(now model.Time) bool {
 	return w.registered && !w.info.Draining && w.epochAccepted && w.failedRenewals == 0 && now >= w.pausedUntil && w.probation == nil
