Cell: suspected tasks leave most workers to others

The bound on such workers counted all names that the owner had ever known, of which each crash adds one. And every task that had been lost twice was kept apart for its whole run, also long after the last crash.

At most a quarter of the workers that answer is kept for suspected tasks, half with those that such tasks have crashed. Suspected tasks of one job share a worker, since the job is to blame whichever of them it was. A suspected task that has waited 2 s starts on a worker without another one; a task that was only beside others is kept apart where that is possible, and waits for it only before the last start that it may have; 5 s after the last crash none of this holds any more.

--- a/internal/cell/crashes.go
+++ b/internal/cell/crashes.go
@@ -14,9 +14,6 @@
 	simultaneous = 100 * time.Millisecond
 	// maxClockError bounds how far the clocks of VMs and workers, which may jump, are apart.
 	maxClockError = 5 * time.Second
-	// probationDivisor bounds the workers that start nothing beside the run of a suspected
-	// task, as a share of all workers.
-	probationDivisor = 4
 )
 
 // workerReplaced handles an answer of another worker at a worker's address. It proves that
@@ -88,7 +85,7 @@
 			since = p.plannedAt // inherited
 		}
 		lost = append(lost, p)
-		runs = append(runs, blame.Run{Job: p.ref.Job, Age: max(0, at.Sub(since)), Confirmed: p.began && !p.stopAccepted && crashSeen})
+		runs = append(runs, blame.Run{Job: p.ref.Job, Age: max(0, at.Sub(since)), Confirmed: p.began && !p.stopAccepted && crashSeen, Suspect: p.suspected()})
 	}
 	common := w.unreachableAt != 0 && blame.CommonCause(c.unreachableAround(w), len(c.workerList))
 	var suspects []int
@@ -96,6 +93,12 @@
 	if !common {
 		suspects, certain = blame.Suspects(runs)
 	}
+	if !common {
+		c.lastCrashAt = c.now
+	}
+	for _, p := range lost {
+		p.group.tasks[p.ref.Index].waitsSince = c.now
+	}
 	c.count("worker_crashes_total", reason)
 	c.log("worker crashed", "", Fields{Worker: w.info.Name, Reason: reason, Outcome: crashCause(common, suspects, certain), Count: len(lost), Age: c.now.Sub(at)})
 	for i, p := range lost {
@@ -132,6 +135,12 @@
 	return n
 }
 
+// suspected reports whether a placement's task is suspected of crashing its workers.
+func (p *placement) suspected() bool {
+	t := &p.group.tasks[p.ref.Index]
+	return t.crash != nil && t.crash.Suspect
+}
+
 // crashRecord returns the crash record of a placement's task.
 func (p *placement) crashRecord() *jobs.CrashRecord {
 	t := &p.group.tasks[p.ref.Index]
@@ -183,7 +192,7 @@
 	case !lapsed && w.boot != 0 && w.boot < p.group.job.submittedMs-maxClockError.Milliseconds():
 		return // it has been running since before the job was submitted
 	case lapsed:
-		if p.sentAt == 0 || !blame.Counts(w.unreachableAt.Sub(p.sentAt)) {
+		if p.sentAt != 0 && !blame.Counts(w.unreachableAt.Sub(p.sentAt)) {
 			return
 		}
 		w.lapsed = append(w.lapsed, p)
@@ -211,44 +220,67 @@
 	}
 }
 
-func (t *task) suspected() bool { return t.crash != nil && blame.Suspected(t.crash) }
+// sinceCrash returns the time since a worker has crashed because of a task, as far as this
+// owner knows.
+func (c *Cell) sinceCrash() time.Duration { return c.now.Sub(max(c.lastCrashAt, c.ownerSince)) }
+
+// startMode returns how a task is to be started after workers have crashed under it.
+func (c *Cell) startMode(t *task) blame.Mode {
+	if t.crash == nil {
+		return blame.Normal
+	}
+	return blame.ModeOf(t.crash, c.sinceCrash(), c.now.Sub(t.waitsSince), c.mayStartAlone())
+}
+
+func (c *Cell) mayStartAlone() bool {
+	return blame.MayStartAlone(c.probations-c.lostProbations, c.lostProbations, c.answeringWorkers)
+}
 
-// placeSuspects places the suspected tasks of a group, each on the candidate with the
-// least work, which starts nothing else until the task has proved harmless. It returns the
-// number of such tasks that were pending, and of those it placed.
+// placeSuspects places the tasks of a group that are not to be started like others, all on
+// the candidate with the least work. It returns the number of such tasks that were pending,
+// and of those it placed. If that worker crashes, the job is to blame, whichever of its
+// tasks it was.
 func (c *Cell) placeSuspects(g *group, d fit.Demand, candidates []fit.Candidate, workers []*worker, limit int) (pending, placed int) {
+	at, mode := -1, blame.Normal
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		if t.state != taskPending || !t.suspected() {
+		if t.state != taskPending {
 			continue
 		}
-		pending++
-		if placed == limit || c.probations >= max(1, len(c.workerList)/probationDivisor) {
+		m := c.startMode(t)
+		if m == blame.Normal {
 			continue
 		}
-		at := quietest(d, candidates, workers)
-		if at < 0 || c.hasForeignRun(g, []int{at}, candidates, workers) {
+		pending++
+		if at < 0 && m != blame.Wait {
+			mode = m
+			at = quietest(d, candidates, workers)
+			if at >= 0 && c.hasForeignRun(g, []int{at}, candidates, workers) {
+				at = -1
+			}
+		}
+		if at < 0 || placed == limit || fit.Place(d, candidates[at:at+1], 1) == nil {
 			continue
 		}
-		candidates[at].TaskLimit = 0 // for the other tasks of the group
 		c.place(g, i, workers[candidates[at].Index], 0)
-		c.beginProbation(t.placement)
+		c.watch(t.placement, mode == blame.Alone)
 		placed++
 	}
 	if placed > 0 {
+		candidates[at].TaskLimit = 0 // for the other tasks of the group
 		c.markDirty(g.job)
 	}
 	return pending, placed
 }
 
 // quietest returns the candidate with room for a task that has the least CPU in use, or -1.
-// A worker with starts under way is left out: it could not be told which of them, and the
-// task, has crashed it.
+// A worker with starts under way or with another watched task is left out: it could not be
+// told which of them has crashed it.
 func quietest(d fit.Demand, candidates []fit.Candidate, workers []*worker) int {
 	best := -1
 	inUse := func(at int) int64 { return candidates[at].Capacity.MilliCPU - candidates[at].Free.MilliCPU }
 	for i := range candidates {
-		if candidates[i].TaskLimit == 0 || fit.Count(d, candidates[i].Free) == 0 || workers[candidates[i].Index].hasUnconfirmedStart() {
+		if candidates[i].TaskLimit == 0 || fit.Count(d, candidates[i].Free) == 0 || workers[candidates[i].Index].hasNewRun() {
 			continue
 		}
 		if best < 0 || inUse(i) < inUse(best) {
@@ -258,49 +290,73 @@
 	return best
 }
 
-func (w *worker) hasUnconfirmedStart() bool {
+func (w *worker) hasNewRun() bool {
 	for _, p := range w.runs {
-		if p.phase == phasePlanned || p.phase == phaseStarting {
+		if p.watched || p.phase == phasePlanned || p.phase == phaseStarting {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *Cell) beginProbation(p *placement) {
-	if p.worker.probation == nil {
+// watch watches a run until it has proved harmless. With alone, its worker starts nothing
+// else until then.
+func (c *Cell) watch(p *placement, alone bool) {
+	p.watched = true
+	if alone && p.worker.probation == nil {
 		p.worker.probation = p
 		c.probations++
 	}
 }
 
-// beginGangProbation keeps other starts off the workers of a gang with a suspected member.
-func (c *Cell) beginGangProbation(g *group) {
-	suspected := false
-	for i := range g.tasks {
-		suspected = suspected || g.tasks[i].suspected()
+// passProbation ends the probation of a worker, unless another of its runs is watched.
+func (c *Cell) passProbation(w *worker) {
+	w.probation = nil
+	for _, p := range sortedPlacements(w) {
+		if p.watched {
+			w.probation = p
+			return
+		}
+	}
+	c.probations--
+	c.scheduleNeeded = true
+}
+
+// gangMode returns how a gang is to be started: as the strictest mode of its members.
+func (c *Cell) gangMode(g *group) blame.Mode {
+	mode := blame.Normal
+	if g.step.Gang && g.hasCrashed {
+		for i := range g.tasks {
+			mode = max(mode, c.startMode(&g.tasks[i]))
+		}
 	}
+	return mode
+}
+
+// watchGang watches all members of a gang.
+func (c *Cell) watchGang(g *group, alone bool) {
 	for i := range g.tasks {
-		if p := g.tasks[i].placement; suspected && p != nil {
-			c.beginProbation(p)
+		if p := g.tasks[i].placement; p != nil {
+			c.watch(p, alone)
 		}
 	}
 }
 
-// endProbation lets a worker start other work beside the run of a suspected task that has
-// proved harmless.
-func (c *Cell) endProbation(w *worker) {
-	p := w.probation
-	if p == nil || p.phase != phaseRunning {
-		return
+// clearSuspects ends the suspicion of runs that have proved harmless, so that their worker
+// may start other work beside them.
+func (c *Cell) clearSuspects(w *worker) {
+	for _, p := range w.runs {
+		if !p.watched || p.phase != phaseRunning {
+			continue
+		}
+		record := p.crashRecord()
+		d, wholeRun := blame.Probation(record, c.sinceCrash())
+		if wholeRun || w.answeredAt.Sub(p.confirmedAt) < d {
+			continue // a worker that has not answered since may have crashed
+		}
+		record.Suspect, record.Blamed, p.watched = false, 0, false
 	}
-	record := p.crashRecord()
-	d, wholeRun := blame.Probation(record)
-	if wholeRun || w.answeredAt.Sub(p.confirmedAt) < d {
-		return // a worker that has not answered since may have crashed
+	if w.probation != nil && !w.probation.watched {
+		c.passProbation(w)
 	}
-	record.Suspect, record.Blamed = false, 0
-	w.probation = nil
-	c.probations--
-	c.scheduleNeeded = true
 }
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -168,8 +168,7 @@
 	delete(p.worker.runs, p.ref)
 	p.worker.used = p.worker.used.Sub(p.need)
 	if p.worker.probation == p {
-		p.worker.probation = nil
-		c.probations--
+		c.passProbation(p.worker)
 	}
 	if g := p.group; g != nil {
 		g.activePlacements--
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/blame"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
 	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 	"github.com/gentianpick/gentianpick/internal/policy/rank"
@@ -41,7 +42,7 @@
 	}
 	c.scheduleNeeded = false
 	c.sortReady()
-	c.updateMaxFree()
+	c.countWorkers()
 	clear(c.reservedFor)
 	c.reservations, c.heldBytes = 0, 0
 	kept := c.readyGroups[:0]
@@ -183,6 +184,10 @@
 	if g.step.Gang && (g.activePlacements > 0 || g.pending < len(g.tasks)-g.doneCount) {
 		return // some members of the last run are not over yet
 	}
+	gangMode := c.gangMode(g)
+	if gangMode == blame.Wait {
+		return
+	}
 	d := fit.Demand{Need: taskDemand(g.step), Headroom: c.headroom(g), DataRack: g.step.DataRack, OneRack: g.step.Gang && g.step.PreferOneRack}
 	if d.Need.MilliCPU+d.Headroom > c.maxFree.MilliCPU || d.Need.MemoryMB > c.maxFree.MemoryMB {
 		c.reserve(g, q, d)
@@ -213,7 +218,8 @@
 			chosen = fit.Place(d, candidates, wanted)
 		}
 	}
-	if len(chosen) < wanted+waiting && q.Eligibility.Required() {
+	permitsMissing := len(chosen) < wanted || waiting > 0 && c.mayStartAlone()
+	if permitsMissing && q.Eligibility.Required() {
 		c.queryEligibility(g, q)
 	}
 	if len(chosen) == 0 {
@@ -233,13 +239,13 @@
 	}
 	next := 0
 	for _, at := range chosen {
-		for g.tasks[next].state != taskPending || !g.step.Gang && g.tasks[next].suspected() {
+		for g.tasks[next].state != taskPending || !g.step.Gang && c.startMode(&g.tasks[next]) != blame.Normal {
 			next++
 		}
 		c.place(g, next, workers[candidates[at].Index], run)
 	}
-	if g.step.Gang && g.hasCrashed {
-		c.beginGangProbation(g)
+	if gangMode != blame.Normal {
+		c.watchGang(g, gangMode == blame.Alone)
 	}
 	c.markDirty(g.job)
 }
@@ -353,13 +359,20 @@
 	return out, workers
 }
 
-// updateMaxFree records the largest free amount of each resource at any usable worker.
-// At a load peak this alone rules out most waiting groups.
-func (c *Cell) updateMaxFree() {
-	c.maxFree = model.Resources{}
+// countWorkers records the largest free amount of each resource at any usable worker,
+// which at a load peak alone rules out most waiting groups, and how many workers answer or
+// are kept for suspected tasks.
+func (c *Cell) countWorkers() {
+	c.maxFree, c.lostProbations, c.answeringWorkers = model.Resources{}, 0, 0
 	for _, w := range c.workerList {
-		if w.usable(c.now) {
+		if w.registered && w.epochAccepted && w.failedRenewals == 0 {
+			c.answeringWorkers++
+		}
+		switch {
+		case w.usable(c.now):
 			c.maxFree = c.maxFree.Max(w.free())
+		case w.probation != nil && w.failedRenewals > 0:
+			c.lostProbations++
 		}
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -115,6 +115,7 @@
 	placement     *placement
 	checkpoint    string
 	lostRuns      int               // runs that were lost with their worker
+	waitsSince    model.Time        // since when it waits after its worker has crashed
 	crash         *jobs.CrashRecord // nil as long as no worker has crashed under it
 	avoidWorker   model.WorkerName  // worker at which the task failed last
 }
@@ -162,6 +163,7 @@
 	unlistedRenewals int  // answers since its confirmation that did not list it
 	began            bool // the worker has confirmed the run
 	crashCounted     bool // in the crash record of its task
+	watched          bool // of a suspected task, and has not proved harmless yet
 	presumed         bool // counted as a presumed crash of its worker
 }
 
@@ -199,7 +201,7 @@
 	// lapsed are runs that were lost with the worker's lease, while it was not known
 	// whether it had crashed.
 	lapsed []*placement
-	// probation is the run of a suspected task, beside which the worker starts nothing.
+	// probation is a watched run beside which the worker starts only tasks of its job.
 	probation  *placement
 	answeredAt model.Time
 
@@ -284,9 +286,12 @@
 	reservedFor       map[*worker]*group // workers reserved for waiting gangs
 	candidateBuffer   []fit.Candidate    // reused by candidates, with workerBuffer
 	workerBuffer      []*worker
-	queryBuffer       []*worker // reused by workersToQuery
-	probations        int       // workers with a run of a suspected task
-	reservations      int       // gangs with reserved workers in this scheduling pass
+	queryBuffer       []*worker  // reused by workersToQuery
+	probations        int        // workers that are kept for the tasks of one job
+	lostProbations    int        // those of them that do not answer, as of this scheduling pass
+	answeringWorkers  int        // registered workers that answer, as of this scheduling pass
+	lastCrashAt       model.Time // of a worker, because of a task
+	reservations      int        // gangs with reserved workers in this scheduling pass
 	dirtyJobs         []*job
 	firstStarts       []firstStart // that may be in no append yet, oldest first
 	requestEntries    []Entry      // requested submissions and cancellations for the next append
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -9,6 +9,7 @@
 package blame
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
@@ -17,7 +18,7 @@
 const (
 	// minAgeBound is the least age of runs up to which a crash may be theirs: ages are
 	// known to within the time that a start and the notice of the crash take.
-	minAgeBound = 100 * time.Millisecond
+	minAgeBound = 50 * time.Millisecond
 	// ageFactor is how much older than the newest run another suspected run may be.
 	ageFactor = 2
 	// maxCountedAge is the age above which a run is no reason for the crash of its worker:
@@ -25,8 +26,22 @@
 	maxCountedAge = 30 * time.Second
 	// maxBlamedAge is the same for blaming a task, for which more evidence is needed.
 	maxBlamedAge = 10 * time.Second
-	// minProbation is how long the worker of a suspected task starts nothing else.
+	// minProbation and maxProbation bound how long the worker of a suspected task starts
+	// nothing else.
 	minProbation = time.Second
+	maxProbation = 5 * time.Second
+	// apartDivisor bounds the workers that are kept for such tasks, as a share of all
+	// workers, and apartLostDivisor the same with those that the tasks have crashed. There
+	// may be minApart on any site.
+	apartDivisor     = 4
+	apartLostDivisor = 2
+	minApart         = 2
+	// maxAloneWait is how long a suspected task waits for such a worker. Most of many
+	// suspected tasks are innocent.
+	maxAloneWait = 2 * time.Second
+	// quietPeriod without a crash is enough to start tasks again beside others that only
+	// ran on workers that crashed.
+	quietPeriod = 5 * time.Second
 	// minCommonCause is the number of workers that crash at the same moment above which
 	// the cause is no task, and commonCauseDivisor the same as a share of all workers.
 	minCommonCause     = 4
@@ -35,7 +50,7 @@
 	// certainly to blame for one of them. maxLosses is the number after which it is given
 	// up in any case; it includes runs that may have ended in a crash.
 	giveUpCrashes = 2
-	maxLosses     = 4
+	maxLosses     = 5
 )
 
 // Run is a run that was lost with its worker.
@@ -46,10 +61,13 @@
 	// Confirmed says that the run was certainly there when its worker crashed. Another one
 	// may have never begun, or may have ended unseen.
 	Confirmed bool
+	// Suspect says that the task was suspected of an earlier crash.
+	Suspect bool
 }
 
 // Suspects returns the indices of the runs that may have crashed their worker, and
-// whether they are certainly to blame since all of them belong to one job.
+// whether they are certainly to blame since all of them belong to one job. Runs whose task
+// was suspected before are the most likely ones, so that beside them no others are.
 func Suspects(runs []Run) (suspects []int, certain bool) {
 	newest, confirmed := time.Duration(-1), false
 	for _, r := range runs {
@@ -64,12 +82,17 @@
 	}
 	certain = true
 	bound := max(minAgeBound, ageFactor*newest)
+	again := false
 	for i, r := range runs {
 		if r.Age <= bound {
 			suspects = append(suspects, i)
 			certain = certain && r.Job == runs[suspects[0]].Job
+			again = again || r.Suspect
 		}
 	}
+	if again && !certain {
+		suspects = slices.DeleteFunc(suspects, func(i int) bool { return !runs[i].Suspect })
+	}
 	return suspects, certain
 }
 
@@ -87,12 +110,50 @@
 	return r.Crashes >= giveUpCrashes && r.Blamed > 0 || r.Crashes+r.Presumed >= maxLosses
 }
 
-// Suspected reports whether a task is to be started on a worker that starts nothing else
-// meanwhile.
-func Suspected(r *jobs.CrashRecord) bool { return r.Suspect || r.Crashes >= giveUpCrashes }
+// Mode says how a task is to be started after workers have crashed under it.
+type Mode int
+
+// Modes of starting a task.
+const (
+	Normal Mode = iota
+	// Wait: it is to be started alone, when a worker may be kept for it.
+	Wait
+	// Watched: on a worker without other suspected tasks.
+	Watched
+	// Alone: on a worker that starts only tasks of the same job meanwhile.
+	Alone
+)
+
+// ModeOf returns how a task is to be started. Alone says whether a further worker may be
+// kept for it. A suspected task is started alone, or watched if it has waited for that for
+// too long. A task under which several workers have crashed is started alone if that is
+// possible, as long as workers crash: it shows whether the task crashes its workers late in
+// its runs, and protects it if it does not. Near the number of losses after which it is
+// given up in any case, it waits for that.
+func ModeOf(r *jobs.CrashRecord, sinceCrash, waited time.Duration, alone bool) Mode {
+	crashing := sinceCrash < quietPeriod
+	switch {
+	case alone && (r.Suspect || r.Crashes >= giveUpCrashes && crashing):
+		return Alone
+	case r.Suspect && waited < maxAloneWait, crashing && r.Crashes+r.Presumed >= maxLosses-2:
+		return Wait
+	case r.Suspect:
+		return Watched
+	}
+	return Normal
+}
+
+// MayStartAlone reports whether a further worker may be kept for tasks of one job. Apart is
+// the number of those that there are among the answering workers, and lost how many others
+// were kept so and do not answer.
+func MayStartAlone(apart, lost, answering int) bool {
+	return apart < max(minApart, answering/apartDivisor) && apart+lost < max(minApart, (answering+lost)/apartLostDivisor)
+}
 
-// Probation returns how long the worker of a suspected task starts nothing else. A task
-// under which several workers have crashed gets the worker for itself until its run ends.
-func Probation(r *jobs.CrashRecord) (d time.Duration, wholeRun bool) {
-	return max(minProbation, ageFactor*time.Duration(r.AgeMs)*time.Millisecond), r.Crashes >= giveUpCrashes
+// Probation returns how long the run of a task is watched until it has proved harmless, or
+// keeps its worker. A task under which several workers have crashed keeps it until its run
+// ends.
+func Probation(r *jobs.CrashRecord, sinceCrash time.Duration) (d time.Duration, wholeRun bool) {
+	d = min(max(minProbation, ageFactor*time.Duration(r.AgeMs)*time.Millisecond), maxProbation)
+	return d, r.Crashes >= giveUpCrashes && sinceCrash < quietPeriod
 }
