Cell: workers that have left are forgotten

Every worker that was ever in the directory stayed in the reducer of each instance, and each scheduling pass, renewal pass and eligibility call looked at all of them. A replaced worker has a new name, so an instance that runs for weeks on a site of a thousand workers grows without a bound.

Workers without an entry, runs and open calls are forgotten after 30 s. Their index is used again, after what groups know by that index was cleared.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -101,6 +101,7 @@
 
 func (c *Cell) tick(e Tick) {
 	c.unixMs, c.storeAnsweredAt = e.UnixMs, e.StoreAnsweredAt
+	c.forgetDepartedWorkers()
 	switch c.role {
 	case roleFollower:
 		c.claimIfOwnerSilent()
@@ -143,9 +144,8 @@
 func (c *Cell) getOrAddWorker(name model.WorkerName) *worker {
 	w := c.workers[name]
 	if w == nil {
-		// The index is the worker's order of arrival. It never changes, unlike the worker's
-		// position in workerList.
-		w = &worker{index: len(c.workerList), info: jobs.WorkerInfo{Name: name}, runs: map[jobs.TaskRef]*placement{}}
+		// The index never changes, unlike the worker's position in workerList.
+		w = &worker{index: c.unusedIndex(), info: jobs.WorkerInfo{Name: name}, runs: map[jobs.TaskRef]*placement{}}
 		c.workers[name] = w
 		at, _ := slices.BinarySearchFunc(c.workerList, name, func(w *worker, n model.WorkerName) int {
 			return cmp.Compare(w.info.Name, n)
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -88,6 +88,9 @@
 	// expiryInterval is how often finished jobs are checked for the end of their
 	// retention.
 	expiryInterval = 5 * time.Second
+	// departedWorkerRetention is how long a worker without an entry and without runs is
+	// kept, since entries that expired during an outage of the store come back.
+	departedWorkerRetention = 30 * time.Second
 	// refusedStartPause is how long a worker that rejected a start gets no new tasks.
 	refusedStartPause = 500 * time.Millisecond
 )
--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -269,7 +269,7 @@
 	if g.finished() {
 		return
 	}
-	if more := len(c.workerList) - len(g.eligible); more > 0 {
+	if more := c.indexCount - len(g.eligible); more > 0 {
 		g.eligible = append(g.eligible, make([]eligibility, more)...)
 	}
 	g.permits = slices.DeleteFunc(g.permits, func(p permit) bool { return c.now >= p.expiresAt })
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -251,6 +251,9 @@
 	workers       map[model.WorkerName]*worker
 	workerList    []*worker // all workers, sorted by name
 	health        *health.Tracker
+	unusedIndexes []int      // of workers that were forgotten
+	indexCount    int        // workers have indexes below it
+	forgottenAt   model.Time // when departed workers were last looked for
 
 	role           role
 	epoch          int64
--- a/internal/policy/blame/blame_test.go
+++ b/internal/policy/blame/blame_test.go
@@ -100,7 +100,7 @@
 	often, suspect := &jobs.CrashRecord{Crashes: 2}, &jobs.CrashRecord{Crashes: 1, Suspect: true}
 	is.Equal(ModeOf(often, time.Second, 0, true), Alone)
 	is.Equal(ModeOf(often, time.Second, 0, false), Normal)
-	is.Equal(ModeOf(often, time.Minute, 0, true), Normal) // nothing crashes any more
+	is.Equal(ModeOf(often, time.Minute, 0, true), Normal)                                  // nothing crashes any more
 	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Second, time.Minute, false), Wait) // not given up for others
 	is.Equal(ModeOf(suspect, time.Minute, 0, true), Alone)
 	is.Equal(ModeOf(suspect, 0, 0, false), Wait)
