--- a/internal/cell/crashes.go
+++ b/internal/cell/crashes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/policy/blame"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
 )
@@ -68,36 +69,17 @@
 	if w.info.Draining || len(victims) == 0 {
 		return // a worker that drains ends on purpose
 	}
-	// A worker that was cut off before it crashed may have ended its runs in between.
-	crashSeen := w.failedRenewals == 0 || w.disconnected
 	at := w.unreachableAt
 	if at == 0 {
 		at = c.now
 	}
-	runs := make([]blame.Run, 0, len(victims))
-	lost := victims[:0]
-	for _, p := range victims {
-		if p.group == nil || p.group.job.state.Final() || p.crashCounted {
-			continue
-		}
-		since := p.sentAt
-		if since == 0 {
-			since = p.plannedAt // inherited
-		}
-		lost = append(lost, p)
-		runs = append(runs, blame.Run{Job: p.ref.Job, Age: max(0, at.Sub(since)), Confirmed: p.began && !p.stopAccepted && crashSeen, Suspect: p.suspected()})
-	}
+	lost, runs := countedRuns(w, victims, at)
 	common := w.unreachableAt != 0 && blame.CommonCause(c.unreachableAround(w), len(c.workerList))
 	var suspects []int
 	certain := false
-	if !common {
-		suspects, certain = blame.Suspects(runs)
-	}
 	if !common {
 		c.lastCrashAt = c.now
-	}
-	for _, p := range lost {
-		p.group.tasks[p.ref.Index].waitsSince = c.now
+		suspects, certain = blame.Suspects(runs)
 	}
 	c.count("worker_crashes_total", reason)
 	c.log("worker crashed", "", Fields{Worker: w.info.Name, Reason: reason, Outcome: crashCause(common, suspects, certain), Count: len(lost), Age: c.now.Sub(at)})
@@ -112,6 +94,29 @@
 	}
 }
 
+// countedRuns returns the placements that a crash of a worker at the given time is to be
+// counted for, and what is known of their runs.
+func countedRuns(w *worker, victims []*placement, at model.Time) ([]*placement, []blame.Run) {
+	// A worker that was cut off before it crashed may have ended its runs in between.
+	crashSeen := w.failedRenewals == 0 || w.disconnected
+	var counted []*placement
+	var runs []blame.Run
+	for _, p := range victims {
+		if p.group == nil || p.group.job.state.Final() || p.crashCounted {
+			continue
+		}
+		since := p.sentAt
+		if since == 0 {
+			since = p.plannedAt // inherited
+		}
+		counted = append(counted, p)
+		runs = append(runs, blame.Run{
+			Job: p.ref.Job, Age: max(0, at.Sub(since)), Confirmed: p.began && !p.stopAccepted && crashSeen, Suspect: p.suspected(),
+		})
+	}
+	return counted, runs
+}
+
 func crashCause(common bool, suspects []int, certain bool) string {
 	switch {
 	case common:
@@ -154,6 +159,7 @@
 func (c *Cell) countCrash(p *placement, r blame.Run) {
 	record := p.crashRecord()
 	p.crashCounted = true
+	p.group.tasks[p.ref.Index].waitsSince = c.now
 	if p.presumed {
 		p.presumed = false
 		record.Presumed--
@@ -302,13 +308,23 @@
 // watch watches a run until it has proved harmless. With alone, its worker starts nothing
 // else until then.
 func (c *Cell) watch(p *placement, alone bool) {
-	p.watched = true
+	if !p.watched {
+		p.watched = true
+		c.watchedRuns++
+	}
 	if alone && p.worker.probation == nil {
 		p.worker.probation = p
 		c.probations++
 	}
 }
 
+func (c *Cell) unwatch(p *placement) {
+	if p.watched {
+		p.watched = false
+		c.watchedRuns--
+	}
+}
+
 // passProbation ends the probation of a worker, unless another of its runs is watched.
 func (c *Cell) passProbation(w *worker) {
 	w.probation = nil
@@ -354,7 +370,8 @@
 		if wholeRun || w.answeredAt.Sub(p.confirmedAt) < d {
 			continue // a worker that has not answered since may have crashed
 		}
-		record.Suspect, record.Blamed, p.watched = false, 0, false
+		record.Suspect, record.Blamed = false, 0
+		c.unwatch(p)
 	}
 	if w.probation != nil && !w.probation.watched {
 		c.passProbation(w)
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -167,6 +167,7 @@
 	c.scheduleNeeded = true
 	delete(p.worker.runs, p.ref)
 	p.worker.used = p.worker.used.Sub(p.need)
+	c.unwatch(p)
 	if p.worker.probation == p {
 		c.passProbation(p.worker)
 	}
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -301,7 +301,9 @@
 // their tasks are placed again.
 func (c *Cell) checkRuns() {
 	for _, w := range c.workerList {
-		c.clearSuspects(w)
+		if c.watchedRuns > 0 {
+			c.clearSuspects(w)
+		}
 		due := false
 		for _, p := range w.runs {
 			due = due || c.stopRetryDue(p) || c.stalled(p)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -290,6 +290,7 @@
 	candidateBuffer   []fit.Candidate    // reused by candidates, with workerBuffer
 	workerBuffer      []*worker
 	queryBuffer       []*worker  // reused by workersToQuery
+	watchedRuns       int        // runs of suspected tasks
 	probations        int        // workers that are kept for the tasks of one job
 	lostProbations    int        // those of them that do not answer, as of this scheduling pass
 	answeringWorkers  int        // registered workers that answer, as of this scheduling pass
