Core: service instances that end early are restarted ever more rarely

From the second early end on the restart is delayed by 1 s, doubled with each further one up to a minute, until the instance has run for 10 s.

--- a/internal/core/indoubt.go
+++ b/internal/core/indoubt.go
@@ -157,6 +157,9 @@
 	if t.superseded {
 		return
 	}
+	if t.job.service.Class == model.ClassService {
+		c.instanceEnded(t)
+	}
 	// How a lost run ended is not known: if retries are spent, the job's outcome is
 	// unknown instead of failed.
 	t.job.runLost = true
--- a/internal/core/services.go
+++ b/internal/core/services.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/gentianpick/gentianpick/internal/model"
 )
@@ -14,6 +15,53 @@
 	job             *job
 	queuedInstances map[int]bool // by index
 	removed         bool         // no longer in the service text
+	// shortRuns holds the instances whose last runs ended early, by index.
+	shortRuns map[int]*shortRuns
+}
+
+// shortRuns counts consecutive runs of a service instance that ended early.
+type shortRuns struct {
+	count     int
+	restartAt model.Time // no restart before this time
+}
+
+const (
+	// stableRun is how long an instance has to run for its next restart not to be delayed.
+	stableRun = 10 * time.Second
+	// minRestartDelay is the delay of the second restart after early ends. It is doubled
+	// with each further one, up to maxRestartDelay. The first restart is not delayed: most
+	// instances end because of their worker.
+	minRestartDelay = time.Second
+	maxRestartDelay = time.Minute
+)
+
+// instanceEnded records that a service instance has ended by itself or was lost with its
+// worker. An instance may be what crashes its workers, with all that runs beside it.
+func (c *Core) instanceEnded(t *task) {
+	s := c.owner.services[t.job.service.Name]
+	if s == nil || t.stopping {
+		return
+	}
+	if c.now.Sub(max(t.placedAt, t.acceptedAt)) >= stableRun {
+		delete(s.shortRuns, t.index)
+		return
+	}
+	r := s.shortRuns[t.index]
+	if r == nil {
+		r = &shortRuns{}
+		s.shortRuns[t.index] = r
+	}
+	r.count++
+	if r.count > 1 {
+		r.restartAt = c.now.Add(min(minRestartDelay<<min(r.count-2, 8), maxRestartDelay))
+		c.count("service_restarts_delayed", s.svc.Name, 1)
+	}
+}
+
+// restartDelayed reports whether an instance may not be started again yet.
+func (s *managedService) restartDelayed(index int, now model.Time) bool {
+	r := s.shortRuns[index]
+	return r != nil && now < r.restartAt
 }
 
 // runsHere reports whether a service has instances in this data centre. The data centre
@@ -56,7 +104,7 @@
 func (c *Core) upsertService(svc *model.Service) *managedService {
 	s := c.owner.services[svc.Name]
 	if s == nil {
-		s = &managedService{queuedInstances: make(map[int]bool)}
+		s = &managedService{queuedInstances: make(map[int]bool), shortRuns: make(map[int]*shortRuns)}
 		s.job = newJob(c.instanceJobID(svc.Name), model.Submission{Service: svc.Name, Tasks: svc.Instances}, 0)
 		c.owner.services[svc.Name] = s
 	}
@@ -141,7 +189,7 @@
 // queueInstances queues the missing instances.
 func (c *Core) queueInstances(s *managedService) {
 	for i := 0; i < s.svc.Instances; i++ {
-		if s.job.taskStates[i] != taskWaiting || s.queuedInstances[i] {
+		if s.job.taskStates[i] != taskWaiting || s.queuedInstances[i] || s.restartDelayed(i, c.now) {
 			continue
 		}
 		s.queuedInstances[i] = true
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -198,6 +198,7 @@
 	}
 	if j.service.Class == model.ClassService {
 		c.ackTask(t.worker, t.id)
+		c.instanceEnded(t)
 		c.count("service_exits", j.service.Name, 1)
 		return
 	}
