Core: a cancellation is answered once the log has it

The answer waits for the record to be read back; repeated cancellations wait with it, and a job that is not durable is answered at once as before. While the log is out, the caller gets no answer instead of one that may be untrue.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -296,7 +296,19 @@
 		c.admitQuery(f, w)
 		return
 	}
-	c.cancelJob(j)
+	if !j.cancelled {
+		c.cancelJob(j)
+	}
+	if j.durable && !j.cancelLogged {
+		// A successor would run the job to its end if this owner were lost before the log
+		// has the cancellation.
+		j.cancelWaiters = append(j.cancelWaiters, w)
+		return
+	}
+	c.replyCancelled(j, w)
+}
+
+func (c *Core) replyCancelled(j *job, w waiter) {
 	a := j.progressAnswer()
 	if j.answer != nil {
 		a = *j.answer
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -250,7 +250,11 @@
 
 func (c *Core) foldCancel(x *record.Cancel) {
 	j := c.loggedJob(x.Job)
-	j.cancelled = true
+	j.cancelled, j.cancelLogged = true, true
+	for _, w := range j.cancelWaiters {
+		c.replyCancelled(j, w)
+	}
+	j.cancelWaiters = nil
 }
 
 // loggedJob returns the job of a log record. It creates an empty one if the job's Accept
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -49,6 +49,8 @@
 	atRisk            bool
 	forecast          time.Duration
 	waiters           []waiter
+	cancelLogged      bool           // the log has the job's cancellation
+	cancelWaiters     []waiter       // of cancellations that the log does not have yet
 	unloggedTasks     []finishedTask // done, but their progress record was not read back yet
 	gangRestartQueued bool           // the gang waits in ownerState.delayed for its restart
 }
