Link: calls that overtake the Welcome of a new connection are executed

Cause: the owner relays calls to an instance as soon as it has read its Hello. Such calls can arrive before the instance has processed the Welcome, which carries its first reading of the owner's clock. Without a reading the age of a call is unbounded, so it was rejected as too old. Callers saw a start that was rejected and placed again; nothing ran twice.

The instance now keeps calls that arrive before the Welcome until it is processed, and judges their age then. TestCallsThatOvertakeWelcomeAreExecuted relays a call before the Welcome is written and failed before (not_sent for accepted). TestRelayedCallsRoundTrip: 30 runs with -race pass.

--- a/internal/link/calls_test.go
+++ b/internal/link/calls_test.go
@@ -28,6 +28,7 @@
 	start func(ctx context.Context, s cell.Start) cell.Verdict
 	renew func(ctx context.Context, r cell.Renew) cell.Renewed
 
+	onConnect func(p *Peer) // called by Connected if set
 	connected chan *Peer
 	lostCalls chan int // Peer.LostCalls of each lost connection
 }
@@ -48,13 +49,25 @@
 
 func (i *fakeInstance) Renew(ctx context.Context, r cell.Renew) cell.Renewed { return i.renew(ctx, r) }
 
-func (i *fakeInstance) Connected(_ string, p *Peer) { i.connected <- p }
+func (i *fakeInstance) Connected(_ string, p *Peer) {
+	if i.onConnect != nil {
+		i.onConnect(p)
+	}
+	i.connected <- p
+}
 
 func (i *fakeInstance) Disconnected(_ string, p *Peer) { i.lostCalls <- p.LostCalls }
 
 // connect connects a follower, which executes calls, to a new owner. It returns the
 // owner's peer, the follower's client and the owner.
 func connect(t testing.TB, follower *fakeInstance) (*Peer, *Client, *fakeInstance) {
+	t.Helper()
+	return connectWith(t, follower, nil)
+}
+
+// connectWith is connect with a function that the owner calls for its new peer before it
+// answers the follower's Hello.
+func connectWith(t testing.TB, follower *fakeInstance, onConnect func(p *Peer)) (*Peer, *Client, *fakeInstance) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -64,6 +77,7 @@
 	}
 	t.Cleanup(func() { _ = ln.Close() })
 	owner := newInstance("owner")
+	owner.onConnect = onConnect
 	go Serve(ctx, ln, owner)
 	client := NewClient(Hello{Name: follower.name, Bandwidth: follower.bandwidth}, follower, follower.traffic, func(bool, error) {})
 	client.SetOwner(ln.Addr().String(), "owner")
@@ -144,6 +158,24 @@
 	is.Equal(v, cell.Accepted)
 }
 
+// Calls that the owner relays before the follower has processed its Welcome must be
+// executed. They were rejected as too old, since the follower had no reading of the
+// owner's clock yet.
+func TestCallsThatOvertakeWelcomeAreExecuted(t *testing.T) {
+	is := is.New(t)
+	follower := newInstance("follower")
+	follower.start = func(context.Context, cell.Start) cell.Verdict { return cell.Accepted }
+	verdicts := make(chan cell.Verdict, 1)
+	connectWith(t, follower, func(p *Peer) {
+		go func() {
+			v, _ := p.Start(context.Background(), newStart("j", 1))
+			verdicts <- v
+		}()
+		time.Sleep(pingTimeout / 4) // the call is sent before the Welcome
+	})
+	is.Equal(<-verdicts, cell.Accepted)
+}
+
 // A renewal that waits at its worker (long poll) must not delay the replies to other
 // calls.
 func TestLongPollDoesNotDelayOtherCalls(t *testing.T) {
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return
 	}
-	s := &connHandler{h: c.h, netConn: newDeadlineConn(c.traffic.WrapConn(netConn))}
+	s := &connHandler{h: c.h, netConn: newDeadlineConn(c.traffic.WrapConn(netConn)), welcomePending: true}
 	conn := newRPCConn(ctx, s, c.hello.Bandwidth > 0 && c.hello.Bandwidth < compressBelow)
 	defer conn.Close()
 	c.mu.Lock()
@@ -100,8 +100,7 @@
 	if err != nil {
 		return
 	}
-	s.age.addReading(welcome.ClockMs, helloSentAt)
-	s.setPingInterval(welcome.PingMs)
+	s.processWelcome(ctx, conn, welcome, helloSentAt)
 	c.mu.Lock()
 	if c.address != address || c.owner != owner {
 		c.mu.Unlock()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -210,11 +210,15 @@
 
 // connHandler serves the requests on one connection.
 type connHandler struct {
-	h        Handler
-	peers    *atomic.Int64 // number of connected instances; nil on the dialling end
-	netConn  *deadlineConn
-	age      ageBound      // of received call batches
-	executor *callExecutor // nil until the first batch
+	h       Handler
+	peers   *atomic.Int64 // number of connected instances; nil on the dialling end
+	netConn *deadlineConn
+	age     ageBound // of received call batches
+	// welcomePending is set on the dialling end until the owner's Welcome is processed.
+	welcomePending bool
+	earlyBatches   []callBatch   // received while welcomePending is set
+	executor       *callExecutor // nil until the first batch is executed
+	batchMu        sync.Mutex    // guards the three fields above and executeBatch
 	// pingEvery is the interval between pings of the dialling end, in nanoseconds.
 	pingEvery atomic.Int64
 
@@ -229,10 +233,7 @@
 	switch req.Method {
 	case methodCalls:
 		if b, ok := decodeParams[callBatch](req); ok {
-			if s.executor == nil {
-				s.executor = newCallExecutor(ctx, s.h, conn, &s.age)
-			}
-			s.executor.executeBatch(ctx, b)
+			s.receiveBatch(ctx, conn, b)
 		}
 	case methodReplies:
 		if b, ok := decodeParams[replyBatch](req); ok {
@@ -248,6 +249,40 @@
 	}
 }
 
+// receiveBatch executes a batch of calls, or keeps it until the Welcome is processed.
+// The owner may relay calls as soon as it has read the Hello, so that they overtake its
+// Welcome. Without the clock reading in the Welcome, the age of calls is unknown.
+func (s *connHandler) receiveBatch(ctx context.Context, conn *jsonrpc2.Conn, b callBatch) {
+	s.batchMu.Lock()
+	defer s.batchMu.Unlock()
+	if s.welcomePending {
+		s.earlyBatches = append(s.earlyBatches, b)
+		return
+	}
+	s.executeBatch(ctx, conn, b)
+}
+
+func (s *connHandler) executeBatch(ctx context.Context, conn *jsonrpc2.Conn, b callBatch) {
+	if s.executor == nil {
+		s.executor = newCallExecutor(ctx, s.h, conn, &s.age)
+	}
+	s.executor.executeBatch(ctx, b)
+}
+
+// processWelcome adopts the owner's clock reading, and executes the calls that arrived
+// before it.
+func (s *connHandler) processWelcome(ctx context.Context, conn *jsonrpc2.Conn, w Welcome, helloSentAt model.Time) {
+	s.age.addReading(w.ClockMs, helloSentAt)
+	s.setPingInterval(w.PingMs)
+	s.batchMu.Lock()
+	defer s.batchMu.Unlock()
+	s.welcomePending = false
+	for _, b := range s.earlyBatches {
+		s.executeBatch(ctx, conn, b)
+	}
+	s.earlyBatches = nil
+}
+
 func decodeParams[P any](req *jsonrpc2.Request) (P, bool) {
 	var p P
 	return p, req.Params != nil && json.Unmarshal(*req.Params, &p) == nil
