Cell: sound tasks beside crashing ones are not given up with them

Cause: a task with three losses waits until a worker may be kept for it, but only while workers crash.

A task with three losses now always starts alone, and waits for that.

--- a/internal/cell/crashing_tasks_test.go
+++ b/internal/cell/crashing_tasks_test.go
@@ -237,3 +237,32 @@
 	}
 	is.Equal(s.violations, nil)
 }
+
+// TestSoundTasksBesideCrashingOnesAreNotGivenUp guards against sound tasks that lose so many
+// runs beside tasks that crash their workers that they are given up as well. After some
+// seconds without a crash, all tasks with several losses started at once, on one worker.
+func TestSoundTasksBesideCrashingOnesAreNotGivenUp(t *testing.T) {
+	const workers, span = 16, 12 * time.Second
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(seed, 1, workers)
+			s.run(3 * time.Second)
+			for at := time.Duration(0); at < span; at += 100 * time.Millisecond {
+				s.after(at, func() { s.submitJob("urgent", "", 2, 1400, 600) })
+				s.after(at, func() { s.submitJob("batch", "", 4, 1000, 1500) })
+				if at%(300*time.Millisecond) == 0 {
+					s.after(at, func() { s.submitJob("batch", "deadly", 2, 1000, 1500) })
+				}
+			}
+			s.run(span + 90*time.Second)
+			for id, j := range s.submitted {
+				v, _ := s.nodes[0].cell.Job(id)
+				if want := map[string]jobs.State{"": jobs.Completed, "deadly": jobs.Failed}[j.Payload]; v.State != want && !s.attemptsUsedUp(j) {
+					t.Errorf("%s %s job of queue %s is %s", id, j.Payload, j.Queue, v.State)
+				}
+			}
+			is.New(t).Equal(s.violations, nil)
+		})
+	}
+}
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -129,13 +129,14 @@
 // too long. A task under which several workers have crashed is started alone if that is
 // possible, as long as workers crash: it shows whether the task crashes its workers late in
 // its runs, and protects it if it does not. Near the number of losses after which it is
-// given up in any case, it waits for that.
+// given up in any case, it is only started alone, also after a quiet time, which there may
+// be because just the tasks wait that crash their workers.
 func ModeOf(r *jobs.CrashRecord, sinceCrash, waited time.Duration, alone bool) Mode {
-	crashing := sinceCrash < quietPeriod
+	lastChances := r.Crashes+r.Presumed >= maxLosses-2
 	switch {
-	case alone && (r.Suspect || r.Crashes >= giveUpCrashes && crashing):
+	case alone && (r.Suspect || lastChances || r.Crashes >= giveUpCrashes && sinceCrash < quietPeriod):
 		return Alone
-	case r.Suspect && waited < maxAloneWait, crashing && r.Crashes+r.Presumed >= maxLosses-2:
+	case r.Suspect && waited < maxAloneWait, lastChances:
 		return Wait
 	case r.Suspect:
 		return Watched
--- a/internal/policy/blame/blame_test.go
+++ b/internal/policy/blame/blame_test.go
@@ -102,6 +102,8 @@
 	is.Equal(ModeOf(often, time.Second, 0, false), Normal)
 	is.Equal(ModeOf(often, time.Minute, 0, true), Normal)                                  // nothing crashes any more
 	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Second, time.Minute, false), Wait) // not given up for others
+	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Minute, time.Minute, false), Wait)
+	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Minute, time.Minute, true), Alone)
 	is.Equal(ModeOf(suspect, time.Minute, 0, true), Alone)
 	is.Equal(ModeOf(suspect, 0, 0, false), Wait)
 	is.Equal(ModeOf(suspect, 0, maxAloneWait, false), Watched) // it does not wait for ever
