Cell: waiting gangs are attempted at intervals, not after each event

A group of batch work that found no room is attempted again after 20 ms, or once it has new permits; reserved workers stay reserved in between; the workers to ask are compared before their room is counted.

--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -108,7 +108,11 @@
 	if c.wideQueryWaits && q.Priority > 0 || c.freeInstance(q.Eligibility.Base) == nil {
 		return
 	}
-	if q.Priority > 0 && g.lookedAt != 0 && c.now.Sub(g.lookedAt) < queryRetryPause && (g.callsWanted == 0 || !c.mayStartCalls(g, q)) {
+	pause := queryRetryPause
+	if q.Priority == 0 {
+		pause = attemptPause
+	}
+	if g.lookedAt != 0 && c.now.Sub(g.lookedAt) < pause && (g.callsWanted == 0 || !c.mayStartCalls(g, q)) {
 		return // looking at all workers of a large site takes long
 	}
 	names := c.workersToQuery(g, q)
@@ -225,16 +229,21 @@
 	var reachable policy.Draw // tasks for which there may be room and a permit after the calls
 	fitting := 0
 	for _, w := range c.workerList {
-		if !c.canRun(g, q, w) || g.eligibilityAt(w) == eligibleNo || fit.Count(fit.Demand{Need: d.Need}, w.info.Capacity) == 0 || c.health.Quarantined(w.info.Name) {
+		if g.eligibilityAt(w) == eligibleNo || !c.canRun(g, q, w) {
+			continue
+		}
+		if d.Need.MilliCPU > w.info.Capacity.MilliCPU || d.Need.MemoryMB > w.info.Capacity.MemoryMB || c.health.Quarantined(w.info.Name) {
 			continue
 		}
 		if at, ok := g.findPermit(w); ok && c.permitValidAt(&g.permits[at], answerAt) {
 			continue
 		}
 		pool = append(pool, w)
-		if room := fit.Count(d, w.unclaimed()); room > 0 {
+		if f := w.unclaimed(); d.Need.MilliCPU+d.Headroom <= f.MilliCPU && d.Need.MemoryMB <= f.MemoryMB {
 			fitting++
-			reachable.Add(eligibleProbability(g, w, share), min(room, g.pending))
+			if g.step.Gang {
+				reachable.Add(eligibleProbability(g, w, share), min(fit.Count(d, f), g.pending))
+			}
 		}
 	}
 	c.queryBuffer = pool[:0]
@@ -350,6 +359,7 @@
 		return
 	}
 	c.scheduleNeeded = true
+	g.attemptedAt = 0
 	g.queriesInFlight = max(0, g.queriesInFlight-1)
 	if e.Failed {
 		g.failedQueries++
--- a/internal/cell/largesite_test.go
+++ b/internal/cell/largesite_test.go
@@ -244,3 +244,32 @@
 	is.True(waits[gangs/2] <= q.LatencyTarget)
 	is.True(waits[gangs-1] <= objective-wideGangRun) // every gang can end in time
 }
+
+// Guards against waiting gangs that use up the owner's processor: after each event, the
+// scheduler looked for room for every one of them.
+func TestWaitingGangsAreNotAttemptedAfterEachEvent(t *testing.T) {
+	const gangs, passes = 40, 100
+	is := is.New(t)
+	s, n := newLargeSite(1)
+	for range gangs {
+		s.load.add(s, n, 0, wideGang(150, 7600, 3000)) // one or two of them fill their eligible workers
+	}
+	s.run(1500 * time.Millisecond)
+	c := n.cell
+	last := map[*group]model.Time{}
+	waiting, attempts := 0, 0
+	for range passes { // within one attemptPause
+		c.now += model.Time(attemptPause / passes)
+		c.schedule()
+		waiting = max(waiting, len(c.readyGroups))
+		for _, g := range c.readyGroups {
+			if g.attemptedAt != last[g] {
+				attempts++
+				last[g] = g.attemptedAt
+			}
+		}
+	}
+	t.Logf("%d attempts of %d waiting gangs in %d passes", attempts, waiting, passes)
+	is.True(waiting > gangs/2)
+	is.True(attempts <= 2*waiting)
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -30,6 +30,10 @@
 	// call is made, in multiples of the bytes that may be in flight. It covers the
 	// duration of the call.
 	queryAhead = 8
+	// attemptPause is the minimum time between attempts to place a group of batch work that
+	// found no room. It is a small part of its slack, and attempts to place all waiting
+	// groups after each event would take most of the processor at peak load.
+	attemptPause = 20 * time.Millisecond
 	// headroomCPU is left free on each worker by tasks that are not urgent, in
 	// thousandths of a core. It fits one task of a typical urgent job.
 	headroomCPU = 1500
@@ -218,6 +222,10 @@
 		}
 		return
 	}
+	if g.attemptedAt != 0 && c.now.Sub(g.attemptedAt) < attemptPause && q.Priority > 0 {
+		c.renewReservation(g)
+		return
+	}
 	candidates, workers := c.candidates(g, q)
 	suspects, placedSuspects := 0, 0
 	if g.hasCrashed && !g.step.Gang {
@@ -237,10 +245,14 @@
 	if permitsMissing && q.Eligibility.Required() {
 		c.queryEligibility(g, q)
 	}
-	if len(chosen) == 0 {
+	g.attemptedAt = 0
+	if len(chosen) > 0 {
+		g.reserved = nil
+	} else {
 		if placedSuspects > 0 {
 			return
 		}
+		g.attemptedAt = c.now
 		c.reserve(g, q, d)
 		return
 	}
@@ -269,6 +281,7 @@
 // that a waiting gang may use. Otherwise small tasks take each bit of capacity as it
 // becomes free, and a wide gang waits until the load peak is over.
 func (c *Cell) reserve(g *group, q *jobs.Queue, d fit.Demand) {
+	g.reserved = nil
 	if !g.step.Gang || q.Priority == 0 || c.reservations >= maxReservations || c.now.Sub(g.readyAt) < reserveAfter || d.Need.MilliCPU <= 0 {
 		return
 	}
@@ -289,11 +302,22 @@
 		if capacity += fit.Count(d, w.info.Capacity); capacity < g.pending {
 			continue
 		}
-		for _, w := range pool[:i+1] {
+		g.reserved = pool[:i+1]
+		c.renewReservation(g)
+		return
+	}
+}
+
+// renewReservation reserves the workers of a gang's last attempt in this scheduling pass.
+func (c *Cell) renewReservation(g *group) {
+	if len(g.reserved) == 0 || c.reservations >= maxReservations {
+		return
+	}
+	c.reservations++
+	for _, w := range g.reserved {
+		if c.reservedFor[w] == nil {
 			c.reservedFor[w] = g
 		}
-		c.reservations++
-		return
 	}
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -56,7 +56,11 @@
 	pending    int  // number of tasks that wait for a placement
 	doneCount  int
 	readyAt    model.Time // since when its tasks may start; zero before
-	queued     bool       // is in the cell's readyGroups
+	// attemptedAt is when the last attempt to place tasks found no room; zero if it placed
+	// some, or if there are new permits.
+	attemptedAt model.Time
+	reserved    []*worker // for a gang, in its last attempt
+	queued      bool      // is in the cell's readyGroups
 
 	// Of a gang; its members share these values.
 	run              int
