Cell: a paused gang keeps its turn for eligibility calls

A gang that waits until all its calls can start holds back work that ranks lower, but only in passes in which it is attempted. In the passes between, lower work took the calls that had ended. It now holds them back in each pass.

--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -224,6 +224,9 @@
 	}
 	if g.attemptedAt != 0 && c.now.Sub(g.attemptedAt) < attemptPause && q.Priority > 0 {
 		c.renewReservation(g)
+		if g.callsWanted > 0 {
+			c.queryEligibility(g, q) // work that ranks lower must not take its calls
+		}
 		return
 	}
 	candidates, workers := c.candidates(g, q)
