Cell: gangs of small sites do not wait for all their eligibility calls

On a site of nine instances a gang's two calls are a third of those that can be in flight, so that waiting for them takes as long as a call, while work that ranks lower is held back. A gang waits for its calls now only if they are at most a quarter of those of the instances. Sites of 147 and of 37 instances decide as before for up to 16 and 6 calls.

--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -133,6 +133,11 @@
 	}
 }
 
+// maxCallShare is the largest share of the instances' calls for which a gang waits until
+// all its calls can start. On a small site the wait for a few calls to end is as long as a
+// call.
+const maxCallShare = 0.25
+
 // mayStartCalls reports whether the eligibility calls that a group wants may start now.
 // Permits of calls that start one after another expire before a wide gang has enough of
 // them, so all of its calls start together. Work that ranks lower waits until they do: it
@@ -143,7 +148,10 @@
 	}
 	limit := c.pacer.MaxEligibilityCalls(q.Priority == 0)
 	free, total := policy.FreeCalls(c.queryCandidates(), q.Eligibility.Base)
-	if min(free, limit-c.queriesInFlight) >= min(g.callsWanted, max(1, min(total, limit)/2)) {
+	if float64(g.callsWanted) > maxCallShare*float64(total) {
+		return true
+	}
+	if min(free, limit-c.queriesInFlight) >= min(g.callsWanted, max(1, limit/2)) {
 		return true
 	}
 	c.wideQueryWaits = q.Priority > 0
