Cell: show how jobs of each size are served, and why gangs wait

Neither logs nor metrics show shares by size, or tell apart what a waiting gang lacks.

Finished jobs are counted by queue, rank by size among the recent jobs of the queue, and whether they were in time (jobs_by_size_total); "job finished" has the rank. "gang waits" says every 2 s whether a gang lacks permits, room on permitted workers, or only the room that is kept for urgent work. No decision changes.

--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -9,6 +9,7 @@
 	"github.com/gentianpick/gentianpick/internal/model"
 	policy "github.com/gentianpick/gentianpick/internal/policy/eligibility"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
+	"github.com/gentianpick/gentianpick/internal/policy/jobsize"
 )
 
 // instance is one instance of the scheduler, as a candidate for eligibility calls and
@@ -27,6 +28,7 @@
 type queueStats struct {
 	eligibleShare float64 // share of the queried workers that were eligible, smoothed
 	runTimeRatio  float64 // run time divided by estimate, smoothed
+	sizes         jobsize.Tracker
 }
 
 // Weights of a new value in the exponential smoothing of queueStats.
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -35,6 +35,7 @@
 		c.cancelJob(j)
 		return
 	}
+	j.sizeTenth = c.stats(j.queue).sizes.Add(j.size())
 	c.enqueueGroups(j)
 	c.finishIfDone(j)
 }
@@ -253,9 +254,10 @@
 // finish sets a job's final state and stops its remaining runs.
 func (c *Cell) finish(j *job, s jobs.State, reason string) {
 	j.state, j.finishedMs = s, c.unixMs
-	c.log("job finished", j.id, Fields{Outcome: string(s), Reason: reason, Age: c.now.Sub(j.arrived)})
+	c.log("job finished", j.id, Fields{Outcome: string(s), Reason: reason, Age: c.now.Sub(j.arrived), Count: j.sizeTenth})
 	c.observe("job_seconds", j.queue, c.now.Sub(j.arrived))
 	c.count("jobs_finished_total", string(s))
+	c.countBySize(j)
 	for _, g := range j.groups {
 		for i := range g.tasks {
 			if p := g.tasks[i].placement; p != nil && (s != jobs.Completed || !g.step.Gang) {
--- /dev/null
+++ b/internal/cell/observability.go
@@ -0,0 +1,84 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
+	"github.com/gentianpick/gentianpick/internal/policy/rank"
+)
+
+const (
+	// waitLogAfter is how long a gang waits before a log line tells why, and waitLogInterval
+	// the minimum time between two such lines about it.
+	waitLogAfter    = 2 * time.Second
+	waitLogInterval = 2 * time.Second
+)
+
+// size returns the expected CPU time of one occurrence of a job, in core-seconds by its
+// estimates.
+func (j *job) size() float64 {
+	sum := 0.0
+	for i := range j.steps {
+		s := &j.steps[i]
+		sum += float64(s.Tasks) * float64(s.Resources.MilliCPU) * float64(s.EstimateMs) / 1e6
+	}
+	return sum
+}
+
+// countBySize counts a finished job by queue, rank by size and whether it was in time.
+func (c *Cell) countBySize(j *job) {
+	if j.sizeTenth == 0 || j.schedule.OccurrenceCount() > 1 || j.state == jobs.Cancelled {
+		return
+	}
+	outcome := "failed"
+	if j.state == jobs.Completed {
+		chain := c.runTime(j, j.longestChain(0, false))
+		objective := c.rankInput(j, j.arrived, chain, chain).Objective()
+		switch took := c.now.Sub(j.arrived); {
+		case took <= objective:
+			outcome = "in time"
+		case took <= rank.UselessFactor*objective:
+			outcome = "late"
+		default:
+			outcome = "useless"
+		}
+	}
+	c.count("jobs_by_size_total", fmt.Sprintf("%s %d %s", j.queue, j.sizeTenth, outcome))
+}
+
+// logWait logs why a gang could not be placed. The reason tells apart too few permits, room
+// that is kept free for urgent work, and workers that are in use.
+func (c *Cell) logWait(g *group, d fit.Demand) {
+	if !g.step.Gang || c.now.Sub(g.readyAt) < waitLogAfter || g.waitLoggedAt != 0 && c.now.Sub(g.waitLoggedAt) < waitLogInterval {
+		return
+	}
+	g.waitLoggedAt = c.now
+	eligibilityRequired := c.queueOf(g.job).Eligibility.Required()
+	withoutHeadroom := fit.Demand{Need: d.Need}
+	permitted, room, roomAndHeadroom := 0, 0, 0
+	for _, w := range c.workerList {
+		if !w.usable(c.now) {
+			continue
+		}
+		if eligibilityRequired {
+			if p := g.permitAt(w); !c.permitValid(&p) {
+				continue
+			}
+		}
+		permitted += fit.Count(withoutHeadroom, w.info.Capacity)
+		roomAndHeadroom += fit.Count(withoutHeadroom, w.free())
+		room += fit.Count(d, w.free())
+	}
+	reason := "other work has the workers reserved"
+	switch {
+	case permitted < g.pending:
+		reason = "too few permits"
+	case roomAndHeadroom < g.pending:
+		reason = "permitted workers are in use"
+	case room < g.pending:
+		reason = "room is kept for urgent work"
+	}
+	c.log("gang waits", g.job.id, Fields{Reason: reason, Count: g.pending, Age: c.now.Sub(g.readyAt)})
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -205,6 +205,7 @@
 	}
 	d := fit.Demand{Need: taskDemand(g.step), Headroom: c.headroom(g), DataRack: g.step.DataRack, OneRack: g.step.Gang && g.step.PreferOneRack}
 	if d.Need.MilliCPU+d.Headroom > c.maxFree.MilliCPU || d.Need.MemoryMB > c.maxFree.MemoryMB {
+		c.logWait(g, d)
 		c.reserve(g, q, d)
 		return // no worker can take even one task
 	}
@@ -256,6 +257,7 @@
 			return
 		}
 		g.attemptedAt = c.now
+		c.logWait(g, d)
 		c.reserve(g, q, d)
 		return
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -29,6 +29,7 @@
 	started           bool
 	finishedMs        int64 // Unix milliseconds at which the job reached a final state
 	stepsDone         int   // finished groups of all occurrences; invalidates chainEstimates
+	sizeTenth         int   // rank by size among the recent jobs of its queue, from 1 to jobsize.Tenths; zero if unknown
 	dirty             bool  // has changes that are in no append yet
 	unappliedProgress *jobs.Progress
 
@@ -77,6 +78,7 @@
 	callsWanted     int        // eligibility calls that the group waits to start together
 	rank            int64      // order among ready groups; the lowest is placed first
 	chains          chainEstimates
+	waitLoggedAt    model.Time // when a log line last told why it waits
 }
 
 // chainEstimates are the inputs to the rank of a group that depend on its job's steps.
