Odd entries: values that can't be computed with are rejected or bounded

Operators of similar systems report an odd entry of another writer among those of the workers, after which the machines that read the list ended or stopped following it. Here, such entries were accepted without a word: ports of 0, -1 and 99999, an address that no URL can hold, capacities near the largest integer, a warm-up of 1e300 ms, a start near the largest integer, names and labels of a megabyte.

Objectives do not overflow.

--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -49,6 +49,10 @@
 		c.log("stored progress refers to an unknown group", j.id, Fields{Count: p.Step})
 		return
 	}
+	if err := p.Validate(); err != nil {
+		c.log("stored progress is invalid", j.id, Fields{Count: p.Step, Reason: err.Error()})
+		return
+	}
 	g.run, g.failures, g.lastFailedRun = p.Run, p.Failures, p.FailedRun
 	for i := range g.tasks {
 		if p.Done.Has(i) {
--- a/internal/cell/replay.go
+++ b/internal/cell/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -145,7 +146,17 @@
 	}
 }
 
+// maxBootAhead is how far in the future the start of a worker may lie by this instance's
+// time of day, which may be wrong.
+const maxBootAhead = 24 * time.Hour
+
 func (c *Cell) workerRegistered(info jobs.WorkerInfo) {
+	if c.unixMs != 0 && info.Boot > c.unixMs+maxBootAhead.Milliseconds() {
+		// Entries with earlier starts would be taken for older ones from then on.
+		c.log("worker directory entry is of the future", "", Fields{Worker: info.Name})
+		c.workerUnregistered(info.Name)
+		return
+	}
 	w := c.getOrAddWorker(info.Name)
 	if info.Boot != 0 && w.info.Boot != 0 && info.Boot < w.info.Boot {
 		return // an entry from before the worker's restart
--- a/internal/policy/rank/rank.go
+++ b/internal/policy/rank/rank.go
@@ -41,9 +41,12 @@
 // nanoseconds.
 const classWidth = int64(1) << 59
 
+// maxObjective bounds objectives, so that sums of them and of times do not overflow.
+const maxObjective = 20 * 365 * 24 * time.Hour
+
 // Objective returns the time within which the job is to finish.
 func (in Input) Objective() time.Duration {
-	return time.Duration(in.Stretch*float64(in.CriticalPath)) + in.LatencyTarget
+	return time.Duration(min(in.Stretch*float64(in.CriticalPath), float64(maxObjective))) + in.LatencyTarget
 }
 
 // Useless reports whether the result of work with this key would be useless.
