Node: an odd record neither ends the process nor stops the directory

A panic while an entry of the store was applied ended the process, and that of each other instance that read the same entry. A page of the directory whose last key is no valid text was listed again and again, since its key in JSON is another one.

Followers recover from a panic of one record, log it and count it (record_failures_total), and end a listing that repeats a page. Claims with an epoch out of range are ignored.

TestOddEntriesDoNotStopDirectory: the process ended before.

--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -103,3 +104,53 @@
 	waitUntil(t, "reading changes as the owner", func() bool { _, reads := d.counts(); return reads > 0 })
 	is.True(n.directory.caughtUpAt.Load() >= n.generation.ownedAt.Load())
 }
+
+// pagedDirectory lists the directory in pages of two entries. A key that is no valid text is
+// returned with replacement characters, as in the store's JSON.
+type pagedDirectory struct {
+	emptyStore
+	keys []string // sorted
+}
+
+func (p *pagedDirectory) Newest(_ context.Context, s store.Stream, after string, _ time.Duration) (store.Page, error) {
+	var page store.Page
+	if s != store.Workers {
+		return page, nil
+	}
+	for _, key := range p.keys {
+		if key <= after {
+			continue
+		}
+		if len(page.Records) == 2 {
+			page.More = true
+			break
+		}
+		page.Records = append(page.Records, store.Record{Key: strings.ToValidUTF8(key, "\uFFFD"), Value: []byte("entry")})
+	}
+	return page, nil
+}
+
+// Guards against an odd entry of another writer that makes an instance list the directory
+// without end, or ends its process, so that it no longer learns of workers.
+func TestOddEntriesDoNotStopDirectory(t *testing.T) {
+	is := is.New(t)
+	p := &pagedDirectory{keys: []string{"a", "b", "odd", "panic", "x", "y", "\xf0odd", "\xf1odd", "\xf2odd"}}
+	tel := NewTelemetry(io.Discard, "error", "vm")
+	defer tel.Close()
+	n := New(Settings{Name: "vm", SubmissionPartitions: 1}, Deps{
+		Store: p, Telemetry: tel, Now: func() model.Time { return model.Time(time.Now().UnixNano()) },
+		Decode: Decoders{Worker: func(key string, _ []byte) (jobs.WorkerInfo, error) {
+			switch {
+			case key == "panic":
+				panic("unforeseen entry")
+			case strings.Contains(key, "odd"):
+				return jobs.WorkerInfo{}, &jobs.InvalidWorkerError{Reason: "odd"}
+			}
+			return jobs.WorkerInfo{Name: model.WorkerName(key)}, nil
+		}},
+	}, "vm-1")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.True(n.directory.load(ctx)) // it ends
+	is.Equal(int(n.dispatcher.workers.Load()), 4)
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -114,12 +116,18 @@
 		if end < 0 {
 			end = p.End // records after it that later pages hold already are read again
 		}
+		before := len(f.loadedOffsets)
 		for _, r := range p.Records {
 			f.loadedOffsets[r.Key] = r.Offset
-			f.apply(r)
+			f.applySafely(r)
 			after = r.Key
 		}
-		if !p.More || len(p.Records) == 0 {
+		if !p.More {
+			break
+		}
+		if len(f.loadedOffsets) == before {
+			// The listing can't be continued after a key that is no valid text.
+			f.n.deps.Telemetry.Log("listing of stream repeats a page; ending it", LogFields{Subject: f.stream.String(), Count: int64(before)})
 			break
 		}
 	}
@@ -131,6 +139,19 @@
 	return true
 }
 
+// applySafely applies a record. A panic, which one unforeseen record may cause, does not end
+// the process or the reading of the stream.
+func (f *follower) applySafely(r store.Record) {
+	defer func() {
+		if v := recover(); v != nil {
+			stack := debug.Stack()
+			f.n.deps.Telemetry.Log("applying record failed", LogFields{Subject: f.stream.String(), Reason: fmt.Sprintf("%.200v at %s", v, stack[:min(len(stack), maxPanicStack)]), Count: r.Offset})
+			f.n.deps.Telemetry.Count("record_failures_total", f.stream.String())
+		}
+	}()
+	f.apply(r)
+}
+
 // age returns the maximum staleness of the follower's view of the stream.
 func (f *follower) age() time.Duration {
 	return f.n.deps.Now().Sub(model.Time(f.caughtUpAt.Load()))
@@ -184,7 +205,7 @@
 		if at, ok := f.loadedOffsets[r.Key]; ok && at >= r.Offset {
 			continue
 		}
-		f.apply(r)
+		f.applySafely(r)
 	}
 	f.setOffset(b.NextOffset)
 	f.behind = len(b.Records) > 0 && b.NextOffset < b.End
@@ -364,6 +385,9 @@
 		switch kind {
 		case jobs.KindOwner:
 			claim, err := jobs.Decode[jobs.Claim](r.Key, r.Value)
+			if err == nil {
+				err = claim.Validate()
+			}
 			if err != nil {
 				n.deps.Telemetry.Log("decoding ownership claim failed", LogFields{Reason: err.Error()})
 				return
