--- a/internal/cell/largesite_test.go
+++ b/internal/cell/largesite_test.go
@@ -52,9 +52,13 @@
 
 // newLargeSite returns a simulation of a large site with one instance of 0.8 core, which
 // owns the cell and has the other instances for eligibility calls.
-func newLargeSite(seed uint64) (*sim, *simNode) {
+func newLargeSite(seed uint64) (*sim, *simNode) { return newLargeSitePart(seed, 1) }
+
+// newLargeSitePart returns a simulation of a site with one in so many workers and instances
+// of the large site.
+func newLargeSitePart(seed uint64, divisor int) (*sim, *simNode) {
 	l := &loadRun{seed: seed, jobs: map[jobs.ID]*loadJob{}, failed: map[jobs.TaskRef]int{}}
-	s := newSim(seed, 0, largeWorkers)
+	s := newSim(seed, 0, largeWorkers/divisor)
 	s.load = l
 	s.onLog = func(e Log) { l.recordLog(s.now, e) }
 	s.cfg = &jobs.Config{Version: 1}
@@ -63,7 +67,7 @@
 		s.cfg.Queues = append(s.cfg.Queues, q.Queue)
 	}
 	n := s.addNode(0.8)
-	for i := range largeInstances - 1 {
+	for i := range largeInstances/divisor - 1 {
 		name := fmt.Sprintf("instance-%d", i)
 		s.after(0, func() { n.send(n.incarnation, InstanceChanged{Name: name, Up: true}) })
 	}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,6 +44,7 @@
 	crashDelay      time.Duration // after which a task that crashes workers does so
 	// sameNameAfterCrash means that a worker that a task has crashed keeps its name.
 	sameNameAfterCrash bool
+	expiredPermits     int      // starts with a permit that was over
 	load               *loadRun // if set, run times and eligibility come from a load profile
 }
 
@@ -347,10 +349,10 @@
 		}, StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Unknown, Call: e.Call})
 	case QueryEligibility:
 		s.after(e.Expected, func() {
-			a := EligibilityAnswered{Instance: e.Instance, Job: e.Job, Step: e.Step, Occurrence: e.Occurrence, Queried: e.Workers, ValidFor: 2500 * time.Millisecond}
+			a := EligibilityAnswered{Instance: e.Instance, Job: e.Job, Step: e.Step, Occurrence: e.Occurrence, Queried: e.Workers, ValidFor: simPermitTTL}
 			for i, w := range e.Workers {
 				if s.load.eligible(e.Job, w, i) {
-					a.Eligible = append(a.Eligible, Permit{Worker: w, Token: "t"})
+					a.Eligible = append(a.Eligible, Permit{Worker: w, Token: s.newPermit()})
 				}
 			}
 			n.send(incarnation, a)
@@ -384,6 +386,18 @@
 	return false
 }
 
+// simPermitTTL is the validity of a permit.
+const simPermitTTL = 2500 * time.Millisecond
+
+// newPermit returns a permit that is valid from now on.
+func (s *sim) newPermit() string { return strconv.FormatInt(int64(s.now), 10) }
+
+// permitExpired reports whether a permit of newPermit is over.
+func (s *sim) permitExpired(token string) bool {
+	issued, err := strconv.ParseInt(token, 10, 64)
+	return err == nil && s.now.Sub(model.Time(issued)) > simPermitTTL
+}
+
 // append repeats an append until it has a final answer, as in the driver.
 func (n *simNode) append(incarnation int, a Append, sent model.Time, inDoubt bool) {
 	s := n.s
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -263,6 +263,10 @@
 		return OldRun
 	}
 	s := w.s
+	if s.permitExpired(o.Permit) {
+		s.expiredPermits++
+		return NoPermit
+	}
 	job := s.submitted[o.Task.Job]
 	step := &job.Steps[o.Task.Step]
 	s.trace("%s started %v run %d", w.name, o.Task, o.Run)
