Blame: tasks that lost several workers wait for a worker of their own

A task under which two workers had crashed was started beside others whenever no further worker could be kept for it. It then crashed these too, suspicion fell on the neighbours that had begun last, and on sites of 16 workers with many such tasks neither they nor sound tasks came to an end.

Such a task now waits like a suspected one: up to 2 s for a worker of its own, then it is started on a worker without other suspected tasks.

TestRepeatedLossesAreNotStartedBesideOthers failed before.

--- a/internal/cell/crashing_tasks_test.go
+++ b/internal/cell/crashing_tasks_test.go
@@ -266,3 +266,25 @@
 		})
 	}
 }
+
+// TestRepeatedLossesAreNotStartedBesideOthers guards against a task that has crashed two
+// workers and is started beside other tasks, since no worker may be kept for it: it crashes
+// these as well, and suspicion falls on its neighbours.
+func TestRepeatedLossesAreNotStartedBesideOthers(t *testing.T) {
+	const seeds = 24
+	often := 0
+	for seed := uint64(1); seed <= seeds; seed++ {
+		s := newSim(seed, 3, 8)
+		s.crashDelay, s.sameNameAfterCrash = 400*time.Millisecond, seed%2 == 0
+		s.run(2 * time.Second)
+		s.submitSteadily(15 * time.Second)
+		s.run(3 * time.Second)
+		deadly := s.submitJob("urgent", "deadly", 1, 1400, 600)
+		s.run(50 * time.Second)
+		if s.truth.workersKilled[jobs.TaskRef{Job: deadly}] > 3 {
+			often++
+		}
+	}
+	t.Logf("%d of %d tasks have crashed over three workers", often, seeds)
+	is.New(t).Equal(often, 0)
+}
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -126,19 +126,20 @@
 
 // ModeOf returns how a task is to be started. Alone says whether a further worker may be
 // kept for it. A suspected task is started alone, or watched if it has waited for that for
-// too long. A task under which several workers have crashed is started alone if that is
-// possible, as long as workers crash: it shows whether the task crashes its workers late in
-// its runs, and protects it if it does not. Near the number of losses after which it is
+// too long. So is a task under which several workers have crashed, as long as workers crash:
+// it shows whether the task crashes its workers late in its runs, and protects it if it does
+// not. Near the number of losses after which it is
 // given up in any case, it is only started alone, also after a quiet time, which there may
 // be because just the tasks wait that crash their workers.
 func ModeOf(r *jobs.CrashRecord, sinceCrash, waited time.Duration, alone bool) Mode {
 	lastChances := r.Crashes+r.Presumed >= maxLosses-2
+	doubtful := r.Suspect || r.Crashes >= giveUpCrashes && sinceCrash < quietPeriod
 	switch {
-	case alone && (r.Suspect || lastChances || r.Crashes >= giveUpCrashes && sinceCrash < quietPeriod):
+	case alone && (doubtful || lastChances):
 		return Alone
-	case r.Suspect && waited < maxAloneWait, lastChances:
+	case doubtful && waited < maxAloneWait, lastChances:
 		return Wait
-	case r.Suspect:
+	case doubtful:
 		return Watched
 	}
 	return Normal
