Headroom: the site as a whole keeps room for urgent work, not each worker

Each worker kept 1.5 cores free from work that is not urgent, so that a worker of 16 cores held one such task in place of two; a gang of three quarters of an idle site's tasks never started.

policy/headroom counts the CPU of the site that is free in pieces of the mean urgent task. Work that is not urgent may use a worker whole while the site keeps 1.5 cores a worker in such pieces beside it; otherwise each worker keeps them as before. A gang that could never start beside that, even on an empty site, need not leave it.

--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -35,6 +35,7 @@
 		c.cancelJob(j)
 		return
 	}
+	c.recordUrgent(j)
 	j.sizeTenth = c.stats(j.queue).sizes.Add(j.size())
 	c.enqueueGroups(j)
 	c.finishIfDone(j)
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -34,9 +34,6 @@
 	// found no room. It is a small part of its slack, and attempts to place all waiting
 	// groups after each event would take most of the processor at peak load.
 	attemptPause = 20 * time.Millisecond
-	// headroomCPU is left free on each worker by tasks that are not urgent, in
-	// thousandths of a core. It fits one task of a typical urgent job.
-	headroomCPU = 1500
 )
 
 // schedule places waiting tasks in the order of their rank.
@@ -188,14 +185,6 @@
 	return longest
 }
 
-// headroom returns the CPU that a group's tasks must leave free on each worker.
-func (c *Cell) headroom(g *group) int64 {
-	if c.queueOf(g.job).Priority == 0 || g.step.BestEffortCPU {
-		return 0
-	}
-	return headroomCPU
-}
-
 // placeGroup places as many tasks of a group as possible, and requests missing
 // permits.
 func (c *Cell) placeGroup(g *group) {
@@ -354,7 +343,9 @@
 	if run == 0 {
 		run = g.tasks[index].run + 1
 	}
+	free := w.free().MilliCPU
 	p := c.newPlacement(g, index, w, run)
+	c.siteRoom(w.info.Service).Placed(free, w.free().MilliCPU)
 	p.startBytes = startSize(len(g.job.payload))
 	c.pacer.StartPlanned(p.startBytes)
 	w.probeAllowed = false
@@ -404,9 +395,12 @@
 }
 
 // countWorkers records the largest free amount of each resource at any usable worker,
-// which at a load peak alone rules out most waiting groups, and how many workers answer or
-// are kept for suspected tasks.
+// which at a load peak alone rules out most waiting groups, the room for urgent tasks, and
+// how many workers answer or are kept for suspected tasks.
 func (c *Cell) countWorkers() {
+	for _, r := range c.urgentRoom {
+		r.Reset()
+	}
 	c.maxFree, c.lostProbations, c.answeringWorkers = model.Resources{}, 0, 0
 	for _, w := range c.workerList {
 		if w.registered && w.epochAccepted && w.failedRenewals == 0 {
@@ -415,6 +409,7 @@
 		switch {
 		case w.usable(c.now):
 			c.maxFree = c.maxFree.Max(w.free())
+			c.siteRoom(w.info.Service).AddWorker(w.free().MilliCPU)
 		case w.probation != nil && w.failedRenewals > 0:
 			c.lostProbations++
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -7,6 +7,7 @@
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
+	"github.com/gentianpick/gentianpick/internal/policy/headroom"
 	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 )
 
@@ -79,6 +80,10 @@
 	rank            int64      // order among ready groups; the lowest is placed first
 	chains          chainEstimates
 	waitLoggedAt    model.Time // when a log line last told why it waits
+	// onlyWithoutHeadroom says that a gang finds no room beside that for urgent work, as of
+	// headroomCheckedAt.
+	onlyWithoutHeadroom bool
+	headroomCheckedAt   model.Time
 }
 
 // chainEstimates are the inputs to the rank of a group that depend on its job's steps.
@@ -302,15 +307,16 @@
 	fullSortNeeded    bool
 	rankedAt          model.Time
 	pacer             *pacing.Pacer
-	throttleLoggedAt  model.Time           // time of the newest log line about throttled calls
-	heldBytes         int                  // bytes of starts that the last scheduling pass held back, as far as it looked
-	renewRetries      int                  // renewals in flight that follow a failed one
-	renewOffset       int                  // position in workerList at which renewals begin
-	queriesInFlight   int                  // eligibility calls in flight
-	claims            map[queryKey][]claim // of the eligibility calls in flight
-	wideQueryWaits    bool                 // a gang waits in this scheduling pass until all its eligibility calls can start
-	reservedFor       map[*worker]*group   // workers reserved for waiting gangs
-	candidateBuffer   []fit.Candidate      // reused by candidates, with workerBuffer
+	throttleLoggedAt  model.Time                // time of the newest log line about throttled calls
+	heldBytes         int                       // bytes of starts that the last scheduling pass held back, as far as it looked
+	renewRetries      int                       // renewals in flight that follow a failed one
+	renewOffset       int                       // position in workerList at which renewals begin
+	queriesInFlight   int                       // eligibility calls in flight
+	claims            map[queryKey][]claim      // of the eligibility calls in flight
+	wideQueryWaits    bool                      // a gang waits in this scheduling pass until all its eligibility calls can start
+	reservedFor       map[*worker]*group        // workers reserved for waiting gangs
+	urgentRoom        map[string]*headroom.Site // room for urgent tasks, by service of the workers
+	candidateBuffer   []fit.Candidate           // reused by candidates, with workerBuffer
 	workerBuffer      []*worker
 	queryBuffer       []*worker  // reused by workersToQuery
 	watchedRuns       int        // runs of suspected tasks
@@ -395,6 +401,7 @@
 		claims:        map[queryKey][]claim{},
 		health:        health.New(healthConfig()),
 		reservedFor:   map[*worker]*group{},
+		urgentRoom:    map[string]*headroom.Site{},
 		pacer:         pacing.New(cfg.Bandwidth, cfg.Cores),
 	}
 }
--- /dev/null
+++ b/internal/cell/urgentroom.go
@@ -0,0 +1,76 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
+	"github.com/gentianpick/gentianpick/internal/policy/headroom"
+)
+
+// headroomCheckInterval is the minimum time between two looks at whether a waiting gang
+// fits beside the room for urgent work, which takes a look at all workers.
+const headroomCheckInterval = time.Second
+
+// siteRoom returns the room for urgent tasks at the workers of a service.
+func (c *Cell) siteRoom(service string) *headroom.Site {
+	r := c.urgentRoom[service]
+	if r == nil {
+		r = &headroom.Site{}
+		c.urgentRoom[service] = r
+	}
+	return r
+}
+
+// recordUrgent records the tasks of an urgent job.
+func (c *Cell) recordUrgent(j *job) {
+	q := c.queueOf(j)
+	if q.Priority != 0 {
+		return
+	}
+	for i := range j.steps {
+		c.siteRoom(q.Service).RecordUrgent(taskDemand(&j.steps[i]).MilliCPU, j.steps[i].Tasks)
+	}
+}
+
+// headroom returns the CPU that a group's tasks must leave free on each worker.
+func (c *Cell) headroom(g *group) int64 {
+	q := c.queueOf(g.job)
+	if q.Priority == 0 || g.step.BestEffortCPU {
+		return 0
+	}
+	cpu := c.siteRoom(q.Service).OnEachWorker(taskDemand(g.step).MilliCPU, g.pending)
+	if cpu > 0 && c.fitsOnlyWithoutHeadroom(g, cpu) {
+		return 0
+	}
+	return cpu
+}
+
+// fitsOnlyWithoutHeadroom reports whether a gang that has waited finds no room beside the
+// given headroom even on a site without other work. It was accepted, and would wait for
+// ever.
+func (c *Cell) fitsOnlyWithoutHeadroom(g *group, cpu int64) bool {
+	if !g.step.Gang || c.now.Sub(g.readyAt) < reserveAfter {
+		return false
+	}
+	if g.headroomCheckedAt != 0 && c.now.Sub(g.headroomCheckedAt) < headroomCheckInterval {
+		return g.onlyWithoutHeadroom
+	}
+	q := c.queueOf(g.job)
+	with, without := fit.Demand{Need: taskDemand(g.step), Headroom: cpu}, fit.Demand{Need: taskDemand(g.step)}
+	share := c.stats(g.job.queue).eligibleShare
+	room, all := 0.0, 0.0
+	for _, w := range c.workerList {
+		if !c.canRun(g, q, w) || q.Eligibility.Required() && g.eligibilityAt(w) == eligibleNo {
+			continue
+		}
+		p := 1.0
+		if q.Eligibility.Required() {
+			p = eligibleProbability(g, w, share)
+		}
+		room += p * float64(fit.Count(with, w.info.Capacity))
+		all += p * float64(fit.Count(without, w.info.Capacity))
+	}
+	g.headroomCheckedAt = c.now
+	g.onlyWithoutHeadroom = room < float64(g.pending) && all >= float64(g.pending)
+	return g.onlyWithoutHeadroom
+}
--- /dev/null
+++ b/internal/policy/headroom/headroom.go
@@ -0,0 +1,77 @@
+// Package headroom decides how much CPU work that is not urgent leaves for urgent tasks.
+//
+// It answers a load of urgent tasks that come in bursts beside wide tasks of nearly half a
+// worker. If each worker keeps some CPU free, a worker of 16 cores holds one task of 7.6
+// cores in place of two, and gangs of such tasks hardly start. Urgent tasks need places
+// somewhere on the site, so the site as a whole keeps them. Only a site that is short of
+// places keeps CPU free on each worker.
+package headroom
+
+const (
+	// MilliCPUPerWorker is the CPU that a site keeps free for urgent tasks, for each of its
+	// workers, in thousandths of a core.
+	MilliCPUPerWorker = 1500
+	// demandWeight is the weight of one task in the mean CPU of urgent tasks.
+	demandWeight = 0.01
+)
+
+// Site tells how much CPU of a site's workers is free in pieces that fit an urgent task. It
+// is computed anew for each scheduling pass, apart from the mean size of urgent tasks.
+type Site struct {
+	taskMilliCPU float64 // mean of urgent tasks, smoothed; zero before the first one
+	places       int64   // CPU that urgent tasks can use
+	required     int64   // CPU that is kept for them
+}
+
+// RecordUrgent records the CPU of the tasks of a step of an urgent job.
+func (s *Site) RecordUrgent(milliCPU int64, tasks int) {
+	if milliCPU <= 0 {
+		return
+	}
+	if s.taskMilliCPU == 0 {
+		s.taskMilliCPU = float64(milliCPU)
+	}
+	for range min(tasks, 100) {
+		s.taskMilliCPU += demandWeight * (float64(milliCPU) - s.taskMilliCPU)
+	}
+}
+
+// Reset begins a scheduling pass.
+func (s *Site) Reset() { s.places, s.required = 0, 0 }
+
+// AddWorker adds a worker that may get tasks.
+func (s *Site) AddWorker(freeMilliCPU int64) {
+	s.places += s.usable(freeMilliCPU)
+	s.required += MilliCPUPerWorker
+}
+
+// Placed records that the free CPU of a worker has changed by a placement.
+func (s *Site) Placed(freeBefore, freeAfter int64) {
+	s.places += s.usable(freeAfter) - s.usable(freeBefore)
+}
+
+// usable returns the part of a worker's free CPU that urgent tasks can use.
+func (s *Site) usable(freeMilliCPU int64) int64 {
+	task := s.task()
+	return max(0, freeMilliCPU) / task * task
+}
+
+func (s *Site) task() int64 {
+	if s.taskMilliCPU < 1 {
+		return MilliCPUPerWorker
+	}
+	return int64(s.taskMilliCPU)
+}
+
+// OnEachWorker returns the CPU that tasks which are not urgent, each of the given size, must
+// leave free on each worker, in thousandths of a core: none if the site keeps enough places
+// beside all of them.
+func (s *Site) OnEachWorker(milliCPU int64, tasks int) int64 {
+	task := s.task()
+	// Each task may cut one place more than its size, where it leaves less than a place.
+	worst := int64(tasks) * ((milliCPU + task - 1) / task * task)
+	if s.places-worst >= s.required {
+		return 0
+	}
+	return MilliCPUPerWorker
+}
--- /dev/null
+++ b/internal/policy/headroom/headroom_test.go
@@ -0,0 +1,51 @@
+package headroom
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func site(workers int, free int64) *Site {
+	s := &Site{}
+	s.RecordUrgent(4000, 1)
+	for range workers {
+		s.AddWorker(free)
+	}
+	return s
+}
+
+// Guards against CPU that is kept free on each worker of a site that has places for urgent
+// tasks elsewhere: wide tasks then use half of each worker.
+func TestIdleSiteKeepsNothingOnEachWorker(t *testing.T) {
+	is := is.New(t)
+	s := site(100, 16000)
+	is.Equal(s.OnEachWorker(7600, 150), int64(0))
+	is.Equal(s.OnEachWorker(7600, 200), int64(MilliCPUPerWorker)) // would leave no places
+}
+
+// Guards against work that is not urgent taking the last places for urgent tasks.
+func TestPlacesForUrgentTasksAreKept(t *testing.T) {
+	is := is.New(t)
+	s := site(100, 3900) // a quarter of the CPU is free, and no worker has a place
+	is.Equal(s.OnEachWorker(7600, 1), int64(MilliCPUPerWorker))
+	s = site(100, 8000)
+	taken := 0
+	for s.OnEachWorker(4000, 1) == 0 {
+		s.Placed(8000, 4000)
+		taken++
+	}
+	is.Equal(taken, 162) // 200 places, of which 150 cores are kept
+}
+
+// Guards against a site without urgent work, or with tiny urgent tasks, that divides by
+// their size.
+func TestSiteWithoutUrgentWork(t *testing.T) {
+	is := is.New(t)
+	var s Site
+	s.RecordUrgent(0, 5)
+	s.AddWorker(16000)
+	is.Equal(s.OnEachWorker(7600, 1), int64(0))
+	s.RecordUrgent(1, 1)
+	is.Equal(s.OnEachWorker(7600, 2), int64(MilliCPUPerWorker))
+}
