--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -52,7 +52,7 @@
 		return
 	}
 	perm, needed := g.permitAt(w), c.queueOf(g.job).Eligibility.Required()
-	if needed && (perm.boot != w.boot || c.now >= perm.expiresAt) {
+	if needed && (perm.worker == nil || !c.permitOutlastsCall(&perm) || g.step.Gang && !g.runStarted(p.run) && !c.gangPermitsOutlastCall(g, p.run)) {
 		c.dropUnsent(p, "permit expired")
 		return
 	}
@@ -69,6 +69,25 @@
 	})
 }
 
+// permitOutlastsCall reports whether a permit is valid until a start that is sent now
+// arrives.
+func (c *Cell) permitOutlastsCall(p *permit) bool {
+	return p.boot == p.worker.boot && p.expiresAt.Sub(c.now) > c.pacer.Latency()
+}
+
+// gangPermitsOutlastCall reports whether the permits of all members of a gang's run are
+// valid until their starts arrive. One member without a permit ends the run of all.
+func (c *Cell) gangPermitsOutlastCall(g *group, run int) bool {
+	for i := range g.tasks {
+		if p := g.tasks[i].placement; p != nil && p.run == run {
+			if perm := g.permitAt(p.worker); perm.worker == nil || !c.permitOutlastsCall(&perm) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // dropUnsent removes a placement whose start was never sent.
 func (c *Cell) dropUnsent(p *placement, reason string) {
 	c.log("placement dropped before its start", p.ref.Job, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Reason: reason})
@@ -132,6 +151,7 @@
 	}
 	if p.phase == phaseStarting {
 		c.observe("start_seconds", "", c.now.Sub(p.sentAt))
+		c.pacer.StartFinished(c.now.Sub(p.plannedAt))
 	}
 	p.phase, p.began, p.confirmedAt, p.progressAt = phaseRunning, true, c.now, c.now
 	if j := p.group.job; j.state == jobs.Queued {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -23,9 +23,6 @@
 	// rankInterval is how often the order of waiting groups is recomputed even without a
 	// change, since ranks change as jobs become late.
 	rankInterval = 100 * time.Millisecond
-	// permitMargin is how long a permit must remain valid after the placement. It covers
-	// storing the placement and sending the start to the worker.
-	permitMargin = 150 * time.Millisecond
 	// queryAhead bounds the starts that wait ahead of a group for which an eligibility
 	// call is made, in multiples of the bytes that may be in flight. It covers the
 	// duration of the call.
@@ -440,12 +437,13 @@
 	}
 }
 
-// permitValid reports whether a permit remains valid long enough for a start.
+// permitValid reports whether a permit remains valid until a start that is placed now has
+// been answered.
 func (c *Cell) permitValid(p *permit) bool { return c.permitValidAt(p, c.now) }
 
 // permitValidAt is permitValid for a later placement.
 func (c *Cell) permitValidAt(p *permit, at model.Time) bool {
-	return p.token != "" && p.boot == p.worker.boot && p.expiresAt.Sub(at) > permitMargin
+	return p.token != "" && p.boot == p.worker.boot && p.expiresAt.Sub(at) > c.pacer.StartMargin()
 }
 
 func (g *group) eligibilityAt(w *worker) eligibility {
--- a/internal/policy/pacing/pacing.go
+++ b/internal/policy/pacing/pacing.go
@@ -74,6 +74,14 @@
 	stopFactor = 2
 	// latencyWeight is the weight of one answer in the smoothed latency.
 	latencyWeight = 0.1
+	// startWeight is the weight of one start in the smoothed duration of starts and in its
+	// mean deviation, and startDeviations how many deviations StartMargin adds.
+	startWeight     = 0.05
+	startDeviations = 4
+	// minStartMargin covers storing a placement and sending its start on an idle site.
+	// maxStartMargin is far below the validity of permits, so that some can be used.
+	minStartMargin = 150 * time.Millisecond
+	maxStartMargin = time.Second
 	// timeoutFactor times the smoothed latency is the shortest timeout of a call.
 	timeoutFactor = 4
 	// maxBackoff bounds the growth of timeouts while most calls time out. Late answers
@@ -122,6 +130,8 @@
 	inFlight     int     // bytes of calls in flight
 	planned      int     // bytes of starts that are planned but not sent
 	latency      time.Duration
+	startTime    time.Duration // from a placement to the answer to its start, smoothed
+	startSpread  time.Duration // mean deviation from it
 	backoff      time.Duration // factor of timeouts
 	periodStart  model.Time
 	quickAnswers int // answers in the period
@@ -216,6 +226,19 @@
 	}
 }
 
+// StartFinished records how long after its placement a start was answered.
+func (p *Pacer) StartFinished(took time.Duration) {
+	took = min(took, maxStartMargin)
+	deviation := took - p.startTime
+	p.startTime += time.Duration(startWeight * float64(deviation))
+	p.startSpread += time.Duration(startWeight * float64(max(deviation, -deviation)-p.startSpread))
+}
+
+// StartMargin returns how long after a placement almost every start has been answered.
+func (p *Pacer) StartMargin() time.Duration {
+	return min(max(p.startTime+startDeviations*p.startSpread, minStartMargin), maxStartMargin)
+}
+
 // adjustLimit adapts the limit to the answers of a period. The majority decides, since
 // a few workers that do not answer say nothing about the instance.
 func (p *Pacer) adjustLimit(now model.Time) {
--- a/internal/policy/pacing/pacing_test.go
+++ b/internal/policy/pacing/pacing_test.go
@@ -314,3 +314,23 @@
 	over, _ := p.Overloaded(0, Backlog{Ahead: 150_000, Total: 150_000, MaxWait: 1400 * time.Millisecond})
 	is.True(!over)
 }
+
+// Guards against permits that expire between a placement and its start while starts are
+// slow, and against a margin that uses up a permit's validity.
+func TestStartMarginFollowsSlowStarts(t *testing.T) {
+	is := is.New(t)
+	p := New(0, 1)
+	is.Equal(p.StartMargin(), minStartMargin)
+	for range 100 {
+		p.StartFinished(20 * time.Millisecond)
+	}
+	is.Equal(p.StartMargin(), minStartMargin)
+	for i := range 100 {
+		p.StartFinished(time.Duration(200+100*(i%3)) * time.Millisecond)
+	}
+	is.True(p.StartMargin() >= 400*time.Millisecond) // the slowest of them
+	for range 100 {
+		p.StartFinished(time.Minute)
+	}
+	is.Equal(p.StartMargin(), maxStartMargin)
+}
