Reservations: bounded by the workers that they keep, not by gangs alone

Up to two wide gangs kept every worker that they might use from batch work that ranks lower: a tenth of the workers of a large site for each, idle until the slowest of them had ended its runs. Narrow and wide gangs alike were later for it.

Reserved workers are now at most 3% of all, or six on a small site.

--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -20,6 +20,11 @@
 	// maxReservations bounds the number of gangs with reserved workers, since reserved
 	// workers are left idle.
 	maxReservations = 2
+	// maxReservedShare bounds the workers that are reserved at the same time, as a share of
+	// all, and minReserved is the number that may be in any case. Reserved workers lose more
+	// room than wide gangs gain by them.
+	maxReservedShare = 0.03
+	minReserved      = 6
 	// rankInterval is how often the order of waiting groups is recomputed even without a
 	// change, since ranks change as jobs become late.
 	rankInterval = 100 * time.Millisecond
@@ -290,6 +295,9 @@
 	slices.SortStableFunc(pool, func(a, b *worker) int { return -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU) })
 	capacity := 0
 	for i, w := range pool {
+		if len(c.reservedFor)+i+1 > max(minReserved, int(maxReservedShare*float64(len(c.workerList)))) {
+			return
+		}
 		if capacity += fit.Count(d, w.info.Capacity); capacity < g.pending {
 			continue
 		}
