Node: a listing goes on behind keys that are no valid text

A page of the directory that ended with such a key was the last one that an instance listed, and the workers behind it were taken for gone: the key arrives with replacement characters, and the listing can't go on after it.

The listing now goes on behind all keys with other bytes at that place, which name no worker. If a page is repeated all the same, nothing is removed.

TestOddEntriesDoNotStopDirectory, with keys behind such ones, failed before.

--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -134,7 +134,7 @@
 // without end, or ends its process, so that it no longer learns of workers.
 func TestOddEntriesDoNotStopDirectory(t *testing.T) {
 	is := is.New(t)
-	p := &pagedDirectory{keys: []string{"a", "b", "odd", "panic", "x", "y", "\xf0odd", "\xf1odd", "\xf2odd"}}
+	p := &pagedDirectory{keys: []string{"a", "b\x80odd", "b\xf0odd", "b\xf1odd", "c", "odd", "panic", "x", "y", "\xf0odd", "\xf1odd", "\xf2odd"}}
 	tel := NewTelemetry(io.Discard, "error", "vm")
 	defer tel.Close()
 	n := New(Settings{Name: "vm", SubmissionPartitions: 1}, Deps{
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/jobs"
@@ -103,6 +105,7 @@
 	after, end := "", int64(-1)
 	sent := f.n.deps.Now()
 	f.loadedOffsets = map[string]int64{}
+	complete := true
 	for {
 		p, err := f.n.deps.Store.Newest(ctx, f.stream, after, min(minLoadStall<<min(f.failures, 8), maxLoadStall))
 		if err != nil {
@@ -120,25 +123,39 @@
 		for _, r := range p.Records {
 			f.loadedOffsets[r.Key] = r.Offset
 			f.applySafely(r)
-			after = r.Key
+			after = listAfter(r.Key)
 		}
 		if !p.More {
 			break
 		}
 		if len(f.loadedOffsets) == before {
-			// The listing can't be continued after a key that is no valid text.
 			f.n.deps.Telemetry.Log("listing of stream repeats a page; ending it", LogFields{Subject: f.stream.String(), Count: int64(before)})
+			complete = false
 			break
 		}
 	}
 	f.setOffset(end)
-	if f.loaded != nil {
+	if f.loaded != nil && complete {
 		f.loaded(f.loadedOffsets)
 	}
 	f.caughtUpAt.Store(int64(sent))
 	return true
 }
 
+// maxKeyBytes is the largest size of a key.
+const maxKeyBytes = 255
+
+// listAfter returns the key after which a listing goes on behind a page with the given last
+// key. A key that is no valid text arrives with replacement characters, which sort elsewhere
+// than its bytes; the listing then goes on behind all keys with such bytes at that place,
+// none of which is a key of this project or the name of a worker.
+func listAfter(last string) string {
+	if i := strings.IndexRune(last, utf8.RuneError); i >= 0 {
+		return last[:i] + strings.Repeat("\xff", max(0, maxKeyBytes-i))
+	}
+	return last
+}
+
 // applySafely applies a record. A panic, which one unforeseen record may cause, does not end
 // the process or the reading of the stream.
 func (f *follower) applySafely(r store.Record) {
