Cell: submissions under load do not search all queues for each waiting job

While work waits for its starts, each submission is compared with all waiting groups, and the priority of each was searched by its queue's name among all queues. Each start searched once more.

Both now take the queue that the job has cached.

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -58,7 +58,7 @@
 	for _, g := range c.readyGroups {
 		bytes := g.pending * startSize(len(g.job.payload))
 		b.Total += bytes
-		if g.rank <= own || !rank.Useless(g.rank) && c.priorityOf(g.job.queue) <= priority {
+		if g.rank <= own || !rank.Useless(g.rank) && c.queueOf(g.job).Priority <= priority {
 			b.Ahead += bytes
 		}
 	}
--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -139,3 +139,35 @@
 	t.Logf("one simulated second takes %v with 100 waiting jobs and %v with 3,000", few, many)
 	is.True(many <= 2*few)
 }
+
+// Guards against an owner that looks through all queues for each waiting job, whenever a job
+// is submitted under load: a configuration may have thousands of them.
+func TestSubmissionCostsNoMoreWithManyQueues(t *testing.T) {
+	is := is.New(t)
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	cost := func(otherQueues int) time.Duration {
+		c := newBacklogCell(backlogWorkers, 1000)
+		cfg := &jobs.Config{Version: 2}
+		for i := range otherQueues {
+			cfg.Queues = append(cfg.Queues, jobs.Queue{Name: fmt.Sprintf("queue-%d", i)})
+		}
+		cfg.Queues = append(cfg.Queues, c.config.Queues...)
+		c.step(ConfigChanged{Config: cfg})
+		c.runSecond()
+		is.True(c.heldBytes > 0) // work waits, so that each submission looks at it
+		job := c.nextJob().Job
+		least := time.Hour
+		for range 10 {
+			begin := threadTime(t)
+			for range 20 {
+				c.backlog(&job)
+			}
+			least = min(least, threadTime(t)-begin)
+		}
+		return least
+	}
+	few, many := cost(0), cost(2000)
+	t.Logf("%v with few queues, %v with 2,000 more", few, many)
+	is.True(many <= 4*few)
+}
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -59,7 +59,7 @@
 	t := &g.tasks[p.ref.Index]
 	p.phase, p.sentAt = phaseStarting, c.now
 	call := Call{SentAt: c.now, Bytes: p.startBytes}
-	c.pacer.StartSent(c.priorityOf(g.job.queue), p.startBytes)
+	c.pacer.StartSent(c.queueOf(g.job).Priority, p.startBytes)
 	p.startBytes = 0
 	j := g.job
 	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
