--- a/internal/cell/jobsizes_test.go
+++ b/internal/cell/jobsizes_test.go
@@ -134,7 +134,7 @@
 			}
 			t.Log("\n" + s.load.String())
 			for _, q := range s.load.queues {
-				for _, property := range sortedKeys(properties) {
+				for _, property := range sortedNames(properties) {
 					shares := s.load.sharesBySize(q.Name, properties[property])
 					t.Logf("%-8s by %-5s %v", q.Name, property, shares)
 					is.True(shares.largest >= shares.useful/2)
@@ -175,15 +175,6 @@
 	is.Equal(s.expiredPermits, 0)
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Guards against a gang that never starts on an idle site although its tasks fit, since each
 // worker keeps room free for urgent work that only the site as a whole needs: two tasks of
 // 7.2 cores were placed on a worker of 16, and one of 7.6.
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -341,7 +341,7 @@
 	return b.String()
 }
 
-func sortedNames(m map[string]float64) []string {
+func sortedNames[V any](m map[string]V) []string {
 	names := make([]string, 0, len(m))
 	for k := range m {
 		names = append(names, k)
--- a/internal/cell/urgentroom.go
+++ b/internal/cell/room.go
@@ -3,13 +3,70 @@
 import (
 	"time"
 
+	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/policy/fit"
 	"github.com/gentianpick/gentianpick/internal/policy/headroom"
 )
 
-// headroomCheckInterval is the minimum time between two looks at whether a waiting gang
-// fits beside the room for urgent work, which takes a look at all workers.
-const headroomCheckInterval = time.Second
+const (
+	// scanTimePerWorker times the number of workers separates passes over all of them that need
+	// not follow each event: they would otherwise take a third of the owner's processor time on
+	// a site of a thousand workers. On small sites such passes follow almost every event.
+	scanTimePerWorker = 8 * time.Microsecond
+	// headroomCheckInterval is the minimum time between two looks at whether a waiting gang
+	// fits beside the room for urgent work, which takes a look at all workers.
+	headroomCheckInterval = time.Second
+)
+
+// scanDue reports whether a pass over all workers is due whose last one was at the given
+// time, and records it.
+func (c *Cell) scanDue(last *model.Time) bool {
+	if *last != 0 && c.now.Sub(*last) < time.Duration(len(c.workerList))*scanTimePerWorker {
+		return false
+	}
+	*last = c.now
+	return true
+}
+
+// countWorkers records the largest free amount of each resource at any usable worker,
+// which at a load peak alone rules out most waiting groups, the room for urgent tasks, and
+// how many workers answer or are kept for suspected tasks. In between, roomChanged follows
+// the placements.
+func (c *Cell) countWorkers() {
+	if !c.scanDue(&c.countedAt) {
+		return
+	}
+	for _, r := range c.urgentRoom {
+		r.Reset()
+	}
+	c.maxFree, c.lostProbations, c.answeringWorkers = model.Resources{}, 0, 0
+	for _, w := range c.workerList {
+		w.counted = false
+		if w.registered && w.epochAccepted && w.failedRenewals == 0 {
+			c.answeringWorkers++
+		}
+		switch {
+		case w.usable(c.now):
+			free := w.free()
+			c.maxFree = c.maxFree.Max(free)
+			w.counted = true
+			c.roomOf(w).AddWorker(free.MilliCPU)
+		case w.probation != nil && w.failedRenewals > 0:
+			c.lostProbations++
+		}
+	}
+}
+
+// roomChanged follows a change of the free resources of a worker, which were as given
+// before.
+func (c *Cell) roomChanged(w *worker, before int64) {
+	if !w.counted {
+		return
+	}
+	free := w.free()
+	c.maxFree = c.maxFree.Max(free)
+	c.roomOf(w).Changed(before, free.MilliCPU)
+}
 
 // siteRoom returns the room for urgent tasks at the workers of a service.
 func (c *Cell) siteRoom(service string) *headroom.Site {
