--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -143,6 +143,9 @@
 	Count   int
 	Reason  string
 	Outcome string
+	// StepTasks is the number of tasks of the task's step at the worker, itself included,
+	// and StepLimit how many may be there. Both are set only for steps with a limit.
+	StepTasks, StepLimit int
 }
 
 // Observe adds one value to a latency histogram.
--- a/internal/cell/observability.go
+++ b/internal/cell/observability.go
@@ -82,3 +82,40 @@
 	}
 	c.log("gang waits", g.job.id, Fields{Reason: reason, Count: g.pending, Age: c.now.Sub(g.readyAt)})
 }
+
+// withStepTasks adds how many tasks of a group's step a worker holds, if the step has a
+// limit.
+func (f Fields) withStepTasks(g *group, w *worker) Fields {
+	if g.step.MaxPerWorker > 0 {
+		f.StepTasks, f.StepLimit = w.stepTasks(g), g.step.MaxPerWorker
+	}
+	return f
+}
+
+// stepTasks returns how many tasks of a group's step a worker holds, as far as the owner
+// knows.
+func (w *worker) stepTasks(g *group) int {
+	n := 0
+	for ref := range w.runs {
+		if ref.Job == g.job.id && ref.Step == g.stepIndex && ref.Occurrence == g.occurrence {
+			n++
+		}
+	}
+	return n
+}
+
+// checkStepLimit reports a run that has begun at a worker that holds more tasks of its step
+// than may be there.
+func (c *Cell) checkStepLimit(p *placement) {
+	j := c.jobs[p.ref.Job]
+	if j == nil {
+		return
+	}
+	g := j.group(p.ref.Occurrence, p.ref.Step)
+	if g == nil || g.step.MaxPerWorker == 0 || p.worker.stepTasks(g) <= g.step.MaxPerWorker {
+		return
+	}
+	c.count("step_limits_exceeded_total", "")
+	over := Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: p.worker.info.Name, Outcome: p.phase.String()}
+	c.log("worker runs more tasks of a step than allowed", p.ref.Job, over.withStepTasks(g, p.worker))
+}
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -62,7 +62,8 @@
 	c.pacer.StartSent(c.queueOf(g.job).Priority, p.startBytes)
 	p.startBytes = 0
 	j := g.job
-	c.log("start sent", j.id, Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)})
+	sent := Fields{Task: p.ref, HasTask: true, Run: p.run, Worker: w.info.Name, Age: c.now.Sub(p.plannedAt)}
+	c.log("start sent", j.id, sent.withStepTasks(g, w))
 	c.emit(Start{
 		Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run,
 		Payload: j.payload, LeaseUntil: c.grantLease(w), Checkpoint: t.checkpoint, Permit: perm.token, Timeout: c.pacer.Timeout(callTimeout), Call: call,
@@ -154,6 +155,7 @@
 		c.pacer.StartFinished(c.now.Sub(p.plannedAt))
 	}
 	p.phase, p.began, p.confirmedAt, p.progressAt = phaseRunning, true, c.now, c.now
+	c.checkStepLimit(p)
 	if j := p.group.job; j.state == jobs.Queued {
 		j.state, j.started = jobs.Running, true
 		c.observe("job_wait_seconds", j.queue, c.now.Sub(j.arrived))
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -356,9 +356,11 @@
 	w.probeAllowed = false
 	c.plannedPlacements = append(c.plannedPlacements, p)
 	c.observe("placement_wait_seconds", g.job.queue, c.now.Sub(g.readyAt))
-	c.log("task placed", g.job.id, Fields{
-		Task: p.ref, HasTask: true, Run: run, Worker: w.info.Name, Age: c.now.Sub(g.readyAt), Count: int(w.free().MilliCPU),
-	})
+	placed := Fields{Task: p.ref, HasTask: true, Run: run, Worker: w.info.Name, Age: c.now.Sub(g.readyAt), Count: int(w.free().MilliCPU)}
+	if c.health.Quarantined(w.info.Name) {
+		placed.Reason = "probe"
+	}
+	c.log("task placed", g.job.id, placed.withStepTasks(g, w))
 }
 
 // candidates returns the workers on which tasks of a group may be placed now. The
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -352,6 +352,7 @@
 	}
 	w.runs[p.ref] = p
 	w.used = w.used.Add(p.need)
+	c.checkStepLimit(p)
 	c.stop(p, "not placed by this owner")
 }
 
--- a/internal/node/telemetry.go
+++ b/internal/node/telemetry.go
@@ -118,6 +118,9 @@
 	if l.Count != 0 {
 		e = e.Int("count", l.Count)
 	}
+	if l.StepLimit != 0 {
+		e = e.Int("step_tasks", l.StepTasks).Int("step_limit", l.StepLimit)
+	}
 	if l.Reason != "" {
 		e = e.Str("reason", l.Reason)
 	}
