--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -58,6 +58,7 @@
 	if s.deadlyShare > 0 && s.rnd.Float64() < s.deadlyShare {
 		j.Payload = "deadly"
 	}
+	s.constrain(&j)
 	s.submitted[id] = j
 	s.submitEntry(Entry{Key: jobs.JobKey(id), Value: jobs.Encode(j)})
 	return id
@@ -84,10 +85,20 @@
 	}
 }
 
+// historyOptions say what the jobs and workers of a history have beside the usual ones.
+type historyOptions struct {
+	deadlyShare float64 // of the jobs, which crash each worker that starts them
+	// constraints are limits, labels and services, and workers that fail all or change.
+	constraints bool
+}
+
 // runHistory runs random jobs with random faults and returns the violations.
-func runHistory(seed uint64, faults int, deadlyShare float64) []string {
+func runHistory(seed uint64, faults int, o historyOptions) []string {
 	s := newSim(seed, 4, 8)
-	s.deadlyShare, s.sameNameAfterCrash = deadlyShare, seed%2 == 0
+	s.deadlyShare, s.sameNameAfterCrash = o.deadlyShare, seed%2 == 0
+	if o.constraints {
+		s.addConstraints(seed)
+	}
 	s.run(2 * time.Second)
 	const span = 20 * time.Second
 	for range 60 {
@@ -101,7 +112,12 @@
 	for range faults {
 		s.after(time.Duration(s.rnd.Int64N(int64(span))), s.injectFault)
 	}
-	if deadlyShare > 0 {
+	if o.constraints {
+		for range 8 {
+			s.after(time.Duration(s.rnd.Int64N(int64(span))), s.injectWorkerChange)
+		}
+	}
+	if o.deadlyShare > 0 {
 		for range 3 {
 			s.after(time.Duration(s.rnd.Int64N(int64(span))), func() {
 				w := s.workers[s.rnd.IntN(len(s.workers))]
@@ -149,7 +165,7 @@
 		s.storeRefuses = true
 		s.after(d, func() { s.storeRefuses = false })
 	case 10:
-		if len(s.workers)-s.workersLeft > 5 && w.up {
+		if len(s.workers)-s.workersLeft > 5 && w.up && s.spare(w) {
 			s.workersLeft++
 			w.leave()
 		}
@@ -286,14 +302,16 @@
 // It guards against tasks that run twice, above a worker's capacity, out of order, too
 // often or not at all. GENTIANPICK_SEED runs one seed, and GENTIANPICK_SEEDS the given
 // number of seeds.
-func TestHistories(t *testing.T) { runHistories(t, 60, 0) }
+func TestHistories(t *testing.T) { runHistories(t, 60, historyOptions{}) }
 
 // TestHistoriesWithTasksThatCrashWorkers guards against tasks that crash worker after
 // worker without end, and against work that is given up or lost because it ran beside
 // them, while instances, workers and the store fail as well and workers shrink and grow.
-func TestHistoriesWithTasksThatCrashWorkers(t *testing.T) { runHistories(t, 30, 0.1) }
+func TestHistoriesWithTasksThatCrashWorkers(t *testing.T) {
+	runHistories(t, 30, historyOptions{deadlyShare: 0.1})
+}
 
-func runHistories(t *testing.T, count int, deadlyShare float64) {
+func runHistories(t *testing.T, count int, o historyOptions) {
 	first := uint64(1)
 	if v := os.Getenv("GENTIANPICK_SEED"); v != "" {
 		seed, err := strconv.ParseUint(v, 10, 64)
@@ -308,7 +326,7 @@
 		seed := first + uint64(i)
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			for _, w := range runHistory(seed, int(seed%12), deadlyShare) {
+			for _, w := range runHistory(seed, int(seed%12), o) {
 				t.Error(w)
 			}
 		})
--- a/internal/cell/largesite_test.go
+++ b/internal/cell/largesite_test.go
@@ -40,13 +40,13 @@
 
 var largeQueues = []largeQueue{
 	{loadQueue: loadQueue{jobs.Queue{Name: "check", Service: "svc", Priority: 0, MaxAttempts: 2, StretchFactor: 1.5, LatencyTarget: 250 * time.Millisecond,
-		Eligibility: jobs.Eligibility{Base: 14300 * time.Microsecond, PerWorker: 208 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.7, 0.2, 0.3},
+		Eligibility: jobs.Eligibility{Base: 14300 * time.Microsecond, PerWorker: 208 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.7, 0.2, 0.3, 0},
 		perSecond: 138, steps: 1, width: 4.5, maxWidth: 27, milliCPU: 3900, maxCPU: 12000, runMs: 680, widthSpread: 0.8, milliCPUDeviation: 0.45},
 	{loadQueue: loadQueue{jobs.Queue{Name: "plan", Service: "svc", Priority: 1, MaxAttempts: 4, StretchFactor: 2.2, LatencyTarget: time.Second,
-		Eligibility: jobs.Eligibility{Base: 507 * time.Millisecond, PerWorker: 7280 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.35, 0.9, 1},
+		Eligibility: jobs.Eligibility{Base: 507 * time.Millisecond, PerWorker: 7280 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.35, 0.9, 1, 0},
 		perSecond: 8.04, steps: 1.2, width: 40, maxWidth: 240, milliCPU: 4500, maxCPU: 7600, runMs: 3400, widthSpread: 0.8, milliCPUDeviation: 0.4},
 	{loadQueue: loadQueue{jobs.Queue{Name: "booking", Service: "svc", Priority: 2, MaxAttempts: 4, StretchFactor: 4, LatencyTarget: 3 * time.Second,
-		Eligibility: jobs.Eligibility{Base: 182 * time.Millisecond, PerWorker: 2600 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.45, 0.9, 0},
+		Eligibility: jobs.Eligibility{Base: 182 * time.Millisecond, PerWorker: 2600 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.45, 0.9, 0, 0.12},
 		perSecond: 10.8, steps: 1.5, width: 40, maxWidth: 200, milliCPU: 2700, maxCPU: 8200, runMs: 2300, widthSpread: 0.6, milliCPUDeviation: 0.45},
 }
 
--- a/internal/cell/load_test.go
+++ b/internal/cell/load_test.go
@@ -41,18 +41,22 @@
 	eligible float64 // share of the workers that are eligible for a step
 	estimate float64 // largest relative error of an estimate
 	gangs    float64 // share of jobs that are gangs
+	limited  float64 // share of jobs with a limit of tasks of a step at a worker
 }
 
 // peakQueues are the queues of the profile's day.
 var peakQueues = []loadQueue{
 	{jobs.Queue{Name: "urgent", Service: "svc", Priority: 0, MaxAttempts: 2, StretchFactor: 1.5, LatencyTarget: 250 * time.Millisecond,
-		Eligibility: jobs.Eligibility{Base: 9300 * time.Microsecond, PerWorker: 130 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.7, 0.2, 0.3},
+		Eligibility: jobs.Eligibility{Base: 9300 * time.Microsecond, PerWorker: 130 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.7, 0.2, 0.3, 0},
 	{jobs.Queue{Name: "plan", Service: "svc", Priority: 1, MaxAttempts: 4, StretchFactor: 2.2, LatencyTarget: time.Second,
-		Eligibility: jobs.Eligibility{Base: 410 * time.Millisecond, PerWorker: 5800 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.35, 0.9, 1},
+		Eligibility: jobs.Eligibility{Base: 410 * time.Millisecond, PerWorker: 5800 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.35, 0.9, 1, 0},
 	{jobs.Queue{Name: "batch", Service: "svc", Priority: 2, MaxAttempts: 4, StretchFactor: 4, LatencyTarget: 3 * time.Second,
-		Eligibility: jobs.Eligibility{Base: 66 * time.Millisecond, PerWorker: 940 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.45, 0.2, 0},
+		Eligibility: jobs.Eligibility{Base: 66 * time.Millisecond, PerWorker: 940 * time.Microsecond, PermitTTL: 2500 * time.Millisecond}}, 0.45, 0.2, 0, 0.12},
 }
 
+// maxLoadLimit is the largest limit of tasks of a step at a worker in a load.
+const maxLoadLimit = 3
+
 // workersPerCall is the number of workers of one eligibility call that the objective
 // assumes.
 const workersPerCall = 30
@@ -232,6 +236,9 @@
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
+		if l.random(id, "limited", 0) < q.limited {
+			step.MaxPerWorker = 1 + int(maxLoadLimit*l.random(id, "limit", i))
+		}
 		out.Steps = append(out.Steps, step)
 	}
 	return out
--- /dev/null
+++ b/internal/cell/placement_limits_test.go
@@ -0,0 +1,125 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+)
+
+// quarantineBeside starts a job of long tasks, of which one may be on each worker, and then
+// has one of the workers fail all that it starts until it is in quarantine.
+func quarantineBeside(t *testing.T, s *sim, limited jobs.ID, tasks int) *simWorker {
+	t.Helper()
+	s.storeJob(limited, "batch", jobs.Step{Tasks: tasks, Resources: cores(1), EstimateMs: 20_000, MaxPerWorker: 1})
+	s.run(time.Second)
+	w := s.workers[0]
+	w.failsUntil = s.now.Add(time.Minute)
+	quarantined := false
+	record := s.onLog
+	s.onLog = func(l Log) {
+		if record != nil {
+			record(l)
+		}
+		quarantined = quarantined || l.Message == "worker quarantined" && l.Worker == w.name
+	}
+	for i := range 40 {
+		s.storeJob(jobs.ID(fmt.Sprintf("%016x", i+1)), "batch", jobs.Step{Tasks: 4, Resources: cores(1), EstimateMs: 300})
+		if s.run(200 * time.Millisecond); quarantined {
+			return w
+		}
+	}
+	t.Fatal("the worker was not quarantined")
+	return nil
+}
+
+// Guards against a probe task that is started on a quarantined worker beside as many tasks
+// of its step as may be there.
+func TestProbeKeepsLimitOfTasksAtWorker(t *testing.T) {
+	is := is.New(t)
+	s, _ := newSimWithOwner(t, 1, 4)
+	quarantineBeside(t, s, "00000000000000aa", 6)
+	s.run(10 * time.Second) // several probes are due
+	is.Equal(s.violations, nil)
+}
+
+// Guards against starts on a worker that has restarted as another kind, while its directory
+// entry is still that of its former process.
+func TestRestartedWorkerIsNotTakenForItsFormerKind(t *testing.T) {
+	is := is.New(t)
+	s, _ := newSimWithOwner(t, 1, 1)
+	w := s.workers[0]
+	w.labels = []string{"kind-a"}
+	w.announce()
+	s.run(100 * time.Millisecond)
+	w.crashAndBecome(100*time.Millisecond, []string{"kind-b"})
+	s.storeJob("00000000000000aa", "batch", jobs.Step{Tasks: 2, Resources: cores(1), EstimateMs: 300, Label: "kind-a"})
+	s.storeJob("00000000000000bb", "batch", jobs.Step{Tasks: 2, Resources: cores(1), EstimateMs: 300, Label: "kind-b"})
+	s.run(10 * time.Second)
+	is.Equal(s.violations, nil)
+	v, _ := s.nodes[0].cell.Job("00000000000000bb")
+	is.Equal(v.State, jobs.Completed)
+}
+
+// Guards against a start at a worker that no longer suits the step when the placement has
+// been stored, which takes long while the store is slow.
+func TestPlacementIsNotStartedOnWorkerThatNoLongerSuits(t *testing.T) {
+	const id = "00000000000000aa"
+	for _, c := range []struct {
+		name   string
+		step   jobs.Step
+		change func(*sim, *simWorker)
+	}{
+		{"other label", jobs.Step{Tasks: 2, Label: "kind-a"}, func(_ *sim, w *simWorker) {
+			w.labels = []string{"kind-b"}
+			w.announce()
+		}},
+		{"other service", jobs.Step{Tasks: 2}, func(_ *sim, w *simWorker) {
+			w.service = "svc-2"
+			w.announce()
+		}},
+		{"run of another owner", jobs.Step{Tasks: 2, MaxPerWorker: 1}, func(s *sim, w *simWorker) {
+			for i := range 2 { // one of them is placed here
+				ref := jobs.TaskRef{Job: id, Index: i}
+				if s.nodes[0].cell.workers[w.name].runs[ref] == nil {
+					w.runs[ref] = &simRun{run: 1, need: cores(1), since: s.now, duration: time.Minute}
+				}
+			}
+			w.stopDelay = 2 * time.Second
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, n := newSimWithOwner(t, 1, 2)
+			for _, w := range s.workers {
+				w.labels = []string{"kind-a"}
+				w.announce()
+			}
+			s.run(100 * time.Millisecond)
+			s.storeDelay = time.Second
+			c.step.Resources, c.step.EstimateMs = cores(1), 1000
+			s.storeJob(id, "batch", c.step)
+			s.run(300 * time.Millisecond) // placed, and not stored
+			for _, w := range s.workers {
+				if len(n.cell.workers[w.name].runs) > 0 {
+					c.change(s, w)
+					break
+				}
+			}
+			dropped := 0
+			s.onLog = func(l Log) {
+				if l.Reason == "worker no longer suits the step" {
+					dropped++
+				}
+			}
+			s.run(2 * time.Second)
+			s.storeDelay = 0
+			s.run(20 * time.Second)
+			is.Equal(s.violations, nil)
+			is.True(dropped > 0)
+		})
+	}
+}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -44,8 +44,12 @@
 	crashDelay      time.Duration // after which a task that crashes workers does so
 	// sameNameAfterCrash means that a worker that a task has crashed keeps its name.
 	sameNameAfterCrash bool
-	expiredPermits     int      // starts with a permit that was over
-	load               *loadRun // if set, run times and eligibility come from a load profile
+	expiredPermits     int // starts with a permit that was over
+	// formerServices are the services that earlier configurations sent a queue to.
+	formerServices map[string][]string
+	// constraints gives random jobs limits, labels and services; nil for none.
+	constraints *rand.Rand
+	load        *loadRun // if set, run times and eligibility come from a load profile
 }
 
 const simLease = 6 * time.Second
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -63,8 +63,13 @@
 	name     model.WorkerName
 	up       bool
 	unlisted bool // left permanently
+	leaving  bool // has left, and may still be in the directory
+	service  string
+	labels   []string
 	// runs that it starts make no progress before
 	stalledUntil model.Time
+	failsUntil   model.Time    // runs that it starts before then fail soon
+	stopDelay    time.Duration // added to the time that a stop takes
 	boot         int64
 	clockRate    float64 // relative to virtual time
 	bootedAt     model.Time
@@ -91,7 +96,7 @@
 func (s *sim) addWorker() *simWorker {
 	w := &simWorker{
 		s: s, name: model.WorkerName(fmt.Sprintf("w-%02d", len(s.workers)+1)), clockRate: 0.98 + 0.04*s.rnd.Float64(),
-		capacity: model.Resources{MilliCPU: 16000, MemoryMB: 32768},
+		capacity: model.Resources{MilliCPU: 16000, MemoryMB: 32768}, service: "svc",
 	}
 	w.address = string(w.name)
 	s.workers = append(s.workers, w)
@@ -105,10 +110,31 @@
 	w.runs, w.barred = map[jobs.TaskRef]*simRun{}, map[jobs.TaskRef]int{}
 }
 
+// directoryDelay is the time until the instances read what a worker that has started writes
+// to the directory.
+const directoryDelay = 800 * time.Millisecond
+
 // crash ends all runs and the process; the worker restarts without any state.
-func (w *simWorker) crash(down time.Duration) {
+func (w *simWorker) crash(down time.Duration) { w.crashAndBecome(down, w.labels) }
+
+// crashAndBecome is a crash after which the worker has other labels.
+func (w *simWorker) crashAndBecome(down time.Duration, labels []string) {
 	w.endProcess()
-	w.s.after(down, w.startProcess)
+	w.s.after(down, func() {
+		w.labels = labels
+		w.startProcess()
+		w.s.after(directoryDelay, w.announce)
+	})
+}
+
+// announce sends the worker's directory entry to the instances.
+func (w *simWorker) announce() {
+	if w.unlisted {
+		return
+	}
+	for _, n := range w.s.nodes {
+		n.send(n.incarnation, WorkerRegistered{Info: w.info()})
+	}
 }
 
 // endProcess ends the process and all runs without a report.
@@ -151,13 +177,13 @@
 	for _, t := range w.tasks() {
 		w.removeRun(t)
 	}
-	w.up = false
+	w.up, w.leaving = false, true
 	w.answerRenewals(len(w.waitingRenewals))
 	w.s.after(4500*time.Millisecond, w.unlist)
 }
 
 func (w *simWorker) info() jobs.WorkerInfo {
-	return jobs.WorkerInfo{Name: w.name, Service: "svc", Address: w.address, Boot: w.boot, Capacity: w.capacity}
+	return jobs.WorkerInfo{Name: w.name, Service: w.service, Address: w.address, Boot: w.boot, Capacity: w.capacity, Labels: w.labels}
 }
 
 func (w *simWorker) clock() model.WorkerTime {
@@ -293,6 +319,9 @@
 	if s.load != nil {
 		took, outcome = s.load.run(o.Task)
 	}
+	if s.now < w.failsUntil {
+		took, outcome = took/10, jobs.OutcomeFailed
+	}
 	if s.crashesWorkers(o.Task) {
 		took = max(took, 2*s.crashDelay)
 		s.after(s.crashDelay, func() {
@@ -335,7 +364,7 @@
 	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
 	if r := w.runs[o.Task]; r != nil && r.run <= o.Run {
 		boot, number := w.boot, r.startNumber
-		w.s.after(time.Duration(w.s.rnd.Int64N(int64(200*time.Millisecond))), func() {
+		w.s.after(w.stopDelay+time.Duration(w.s.rnd.Int64N(int64(200*time.Millisecond))), func() {
 			if r := w.runs[o.Task]; w.up && w.boot == boot && r != nil && r.startNumber == number {
 				w.endRun(o.Task, r.run, jobs.OutcomeStopped)
 			}
@@ -383,6 +412,7 @@
 	if u := w.used().Add(step.Resources); !u.Fits(room) {
 		s.fail("capacity exceeded: %v at %s takes %v of %v", t, w.name, u, room)
 	}
+	s.checkWorker(w, t, step)
 	for _, a := range step.After {
 		for i := range s.submitted[t.Job].Steps[a].Tasks {
 			if p := (jobs.TaskRef{Job: t.Job, Occurrence: t.Occurrence, Step: a, Index: i}); !s.truth.done[p] {
@@ -403,6 +433,28 @@
 	}
 }
 
+// checkWorker checks that a task may start at a worker: the queue is sent to its service, it
+// has the label that the step requires, and it holds fewer tasks of the step than may be
+// there. A task that is being stopped counts.
+func (s *sim) checkWorker(w *simWorker, t jobs.TaskRef, step *jobs.Step) {
+	queue := s.submitted[t.Job].Queue
+	if w.service != s.cfg.Queue(queue).Service && !slices.Contains(s.formerServices[queue], w.service) {
+		s.fail("wrong service: %v of queue %s started at %s of service %s", t, queue, w.name, w.service)
+	}
+	if step.Label != "" && !slices.Contains(w.labels, step.Label) {
+		s.fail("missing label: %v requires %s and started at %s, which has %v", t, step.Label, w.name, w.labels)
+	}
+	beside := 0
+	for other := range w.runs {
+		if other.Job == t.Job && other.Occurrence == t.Occurrence && other.Step == t.Step && other != t {
+			beside++
+		}
+	}
+	if step.MaxPerWorker > 0 && beside >= step.MaxPerWorker {
+		s.fail("too many tasks of a step: %v started at %s beside %d others, %d may be there", t, w.name, beside, step.MaxPerWorker)
+	}
+}
+
 // withoutFaults reports whether no fault is in progress that could delay a call.
 func (s *sim) withoutFaults() bool {
 	return s.lateCallShare == 0 && s.lostAnswerShare == 0 && !s.storeDown && !s.storeRefuses
