--- a/internal/cell/observability.go
+++ b/internal/cell/observability.go
@@ -92,18 +92,6 @@
 	return f
 }
 
-// stepTasks returns how many tasks of a group's step a worker holds, as far as the owner
-// knows.
-func (w *worker) stepTasks(g *group) int {
-	n := 0
-	for ref := range w.runs {
-		if ref.Job == g.job.id && ref.Step == g.stepIndex && ref.Occurrence == g.occurrence {
-			n++
-		}
-	}
-	return n
-}
-
 // checkStepLimit reports a run that has begun at a worker that holds more tasks of its step
 // than may be there.
 func (c *Cell) checkStepLimit(p *placement) {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -372,18 +372,11 @@
 		if !c.canRun(g, q, w) || q.Priority > 0 && c.reservedFor[w] != nil {
 			return
 		}
-		limit := -1
-		if g.step.MaxPerWorker > 0 {
-			limit = max(0, g.step.MaxPerWorker-g.tasksAt(w))
-		}
-		if c.health.Quarantined(w.info.Name) {
-			if !w.probeAllowed || g.step.Gang {
-				return
-			}
-			limit = 1
+		if c.health.Quarantined(w.info.Name) && (!w.probeAllowed || g.step.Gang) {
+			return
 		}
 		out = append(out, fit.Candidate{
-			Index: len(workers), Free: w.free(), Capacity: w.info.Capacity, Rack: w.info.Rack, TaskLimit: limit, Penalty: c.penalty(g, w),
+			Index: len(workers), Free: w.free(), Capacity: w.info.Capacity, Rack: w.info.Rack, TaskLimit: c.taskLimit(g, w), Penalty: c.penalty(g, w),
 		})
 		workers = append(workers, w)
 	}
@@ -446,11 +439,25 @@
 	return w.usable(c.now) && w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
 }
 
-// tasksAt returns how many tasks of a group are placed at a worker.
-func (g *group) tasksAt(w *worker) int {
+// taskLimit returns how many more tasks of a group a worker may get, independently of its
+// free resources; negative: no limit. A worker in quarantine gets one, the probe.
+func (c *Cell) taskLimit(g *group, w *worker) int {
+	limit := -1
+	if g.step.MaxPerWorker > 0 {
+		limit = max(0, g.step.MaxPerWorker-w.stepTasks(g))
+	}
+	if c.health.Quarantined(w.info.Name) && limit != 0 {
+		return 1
+	}
+	return limit
+}
+
+// stepTasks returns how many tasks of a group's step a worker holds, as far as the owner
+// knows. Runs that this owner did not place count too.
+func (w *worker) stepTasks(g *group) int {
 	n := 0
-	for i := range g.tasks {
-		if p := g.tasks[i].placement; p != nil && p.worker == w {
+	for ref := range w.runs {
+		if ref.Job == g.job.id && ref.Step == g.stepIndex && ref.Occurrence == g.occurrence {
 			n++
 		}
 	}
