--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -254,7 +254,14 @@
 
 // usable reports whether a worker may get new tasks.
 func (w *worker) usable(now model.Time) bool {
-	return w.registered && !w.info.Draining && w.epochAccepted && w.failedRenewals == 0 && now >= w.pausedUntil && w.probation == nil
+	return w.registered && !w.info.Draining && w.epochAccepted && w.failedRenewals == 0 && now >= w.pausedUntil && w.probation == nil && w.entryCurrent()
+}
+
+// entryCurrent reports whether the directory entry and the newest answer of a worker are of
+// the same process. One that restarts under its name may have other labels, another service
+// and another capacity.
+func (w *worker) entryCurrent() bool {
+	return w.boot == 0 || w.info.Boot == 0 || w.boot == w.info.Boot
 }
 
 // role is the instance's role in the cell.
