--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -51,6 +51,10 @@
 		c.dropUnsent(p, "worker has shrunk")
 		return
 	}
+	if !w.entryCurrent() || !g.suits(c.queueOf(g.job), w) || g.step.MaxPerWorker > 0 && w.stepTasks(g) > g.step.MaxPerWorker {
+		c.dropUnsent(p, "worker no longer suits the step")
+		return
+	}
 	perm, needed := g.permitAt(w), c.queueOf(g.job).Eligibility.Required()
 	if needed && (perm.worker == nil || !c.permitOutlastsCall(&perm) || g.step.Gang && !g.runStarted(p.run) && !c.gangPermitsOutlastCall(g, p.run)) {
 		c.dropUnsent(p, "permit expired")
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -436,7 +436,13 @@
 
 // canRun reports whether a worker may run tasks of a group, regardless of free resources.
 func (c *Cell) canRun(g *group, q *jobs.Queue, w *worker) bool {
-	return w.usable(c.now) && w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
+	return w.usable(c.now) && g.suits(q, w)
+}
+
+// suits reports whether a worker is of the service that a group's queue is sent to, and has
+// the label that its step requires.
+func (g *group) suits(q *jobs.Queue, w *worker) bool {
+	return w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
 }
 
 // taskLimit returns how many more tasks of a group a worker may get, independently of its
