--- a/internal/cell/placement_limits_test.go
+++ b/internal/cell/placement_limits_test.go
@@ -14,7 +14,7 @@
 // has one of the workers fail all that it starts until it is in quarantine.
 func quarantineBeside(t *testing.T, s *sim, limited jobs.ID, tasks int) *simWorker {
 	t.Helper()
-	s.storeJob(limited, "batch", jobs.Step{Tasks: tasks, Resources: cores(1), EstimateMs: 20_000, MaxPerWorker: 1})
+	s.storeJob(limited, "batch", jobs.Step{Tasks: tasks, Resources: cores(1), EstimateMs: 60_000, MaxPerWorker: 1})
 	s.run(time.Second)
 	w := s.workers[0]
 	w.failsUntil = s.now.Add(time.Minute)
@@ -41,9 +41,18 @@
 func TestProbeKeepsLimitOfTasksAtWorker(t *testing.T) {
 	is := is.New(t)
 	s, _ := newSimWithOwner(t, 1, 4)
-	quarantineBeside(t, s, "00000000000000aa", 6)
+	w := quarantineBeside(t, s, "00000000000000aa", 6)
+	placed := 0
+	record := s.onLog
+	s.onLog = func(l Log) {
+		record(l)
+		if l.Message == "task placed" && l.Job == "00000000000000aa" && l.Worker == w.name {
+			placed++
+		}
+	}
 	s.run(10 * time.Second) // several probes are due
 	is.Equal(s.violations, nil)
+	is.Equal(placed, 0) // the worker holds one of its tasks
 }
 
 // Guards against starts on a worker that has restarted as another kind, while its directory
