--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -97,6 +97,10 @@
 // maxQueryDoublings bounds the exponential growth of queryRetryPause while calls fail.
 const maxQueryDoublings = 3
 
+// maxProbesPerQuery bounds the workers in quarantine that a group which is no gang asks about
+// at the same time, since its tasks probably fail there.
+const maxProbesPerQuery = 1
+
 // queryEligibility starts the eligibility calls for a group, if there are workers to
 // query. The calls for a wide group run at the same time on several instances: permits
 // expire, so that those of successive calls would never suffice for it.
@@ -237,18 +241,25 @@
 	answerAt := c.now.Add(q.Eligibility.CallDuration(policy.MaxWorkers))
 	pool := c.queryBuffer[:0]
 	var reachable policy.Draw // tasks for which there may be room and a permit after the calls
-	fitting := 0
+	fitting, probes := 0, 0
 	for _, w := range c.workerList {
 		if g.eligibilityAt(w) == eligibleNo || !c.canRun(g, q, w) {
 			continue
 		}
-		if d.Need.MilliCPU > w.info.Capacity.MilliCPU || d.Need.MemoryMB > w.info.Capacity.MemoryMB || c.health.Quarantined(w.info.Name) {
+		if d.Need.MilliCPU > w.info.Capacity.MilliCPU || d.Need.MemoryMB > w.info.Capacity.MemoryMB {
+			continue
+		}
+		quarantined := c.health.Quarantined(w.info.Name)
+		if quarantined && (!c.mayProbe(g, q, w) || !g.step.Gang && probes == maxProbesPerQuery) {
 			continue
 		}
 		if at, ok := g.findPermit(w); ok && c.permitValidAt(&g.permits[at], answerAt) {
 			continue
 		}
 		pool = append(pool, w)
+		if quarantined {
+			probes++
+		}
 		if f := w.unclaimed(); d.Need.MilliCPU+d.Headroom <= f.MilliCPU && d.Need.MemoryMB <= f.MemoryMB {
 			fitting++
 			if g.step.Gang {
--- a/internal/cell/placement_limits_test.go
+++ b/internal/cell/placement_limits_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
 )
 
 // quarantineBeside starts a job of long tasks, of which one may be on each worker, and then
@@ -132,3 +133,64 @@
 		})
 	}
 }
+
+// Guards against workers in quarantine that never get a probe, and stay out of use, on a site
+// whose queues all need permits: no eligibility call asked about them.
+func TestQuarantinedWorkersGetProbesWherePermitsAreNeeded(t *testing.T) {
+	is := is.New(t)
+	s, n := newSimWithOwner(t, 1, 8)
+	s.cfg = &jobs.Config{Version: 2, Queues: []jobs.Queue{{Name: "batch", Service: "svc", Priority: 2, MaxAttempts: 4, StretchFactor: 4,
+		LatencyTarget: time.Second, Eligibility: jobs.Eligibility{Base: 9 * time.Millisecond, PermitTTL: 2500 * time.Millisecond}}}}
+	n.send(n.incarnation, ConfigChanged{Config: s.cfg})
+	for _, w := range s.workers[:2] {
+		w.failsUntil = s.now.Add(5 * time.Second)
+	}
+	quarantined := map[model.WorkerName]bool{}
+	s.onLog = func(l Log) {
+		switch l.Message {
+		case "worker quarantined":
+			quarantined[l.Worker] = true
+		case "worker released from quarantine":
+			delete(quarantined, l.Worker)
+		}
+	}
+	seen := 0
+	for i := range 100 {
+		s.storeJob(jobs.ID(fmt.Sprintf("%016x", i+1)), "batch", jobs.Step{Tasks: 4, Resources: cores(4), EstimateMs: 300})
+		s.run(200 * time.Millisecond)
+		seen = max(seen, len(quarantined))
+	}
+	is.Equal(seen, 2)
+	is.Equal(quarantined, map[model.WorkerName]bool{})
+	s.run(10 * time.Second)
+	s.checkFinalStates()
+	is.Equal(s.violations, nil)
+}
+
+// Guards against accepted jobs that wait for ever since the only workers that they can use
+// are in quarantine, and neither gangs nor urgent tasks became probes.
+func TestJobsStartOnQuarantinedWorkersThatTheyNeed(t *testing.T) {
+	for _, c := range []struct {
+		name, queue string
+		step        jobs.Step
+	}{
+		{"gang", "gangs", jobs.Step{Tasks: 10, Resources: cores(5), EstimateMs: 500, Gang: true}},
+		{"urgent", "urgent", jobs.Step{Tasks: 1, Resources: cores(2), EstimateMs: 500, Label: "kind-b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, n := newSimWithOwner(t, 1, 4)
+			s.workers[0].labels = []string{"kind-b"}
+			s.workers[0].announce()
+			w := quarantineBeside(t, s, "00000000000000aa", 1)
+			w.failsUntil = 0
+			n.send(n.incarnation, JobCancelled{ID: "00000000000000aa"})
+			s.run(3 * time.Second) // other work has ended
+			s.storeJob("00000000000000bb", c.queue, c.step)
+			s.run(20 * time.Second)
+			v, _ := n.cell.Job("00000000000000bb")
+			is.Equal(v.State, jobs.Completed)
+			is.Equal(s.violations, nil)
+		})
+	}
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -372,7 +372,7 @@
 		if !c.canRun(g, q, w) || q.Priority > 0 && c.reservedFor[w] != nil {
 			return
 		}
-		if c.health.Quarantined(w.info.Name) && (!w.probeAllowed || g.step.Gang) {
+		if c.health.Quarantined(w.info.Name) && !c.mayProbe(g, q, w) {
 			return
 		}
 		out = append(out, fit.Candidate{
@@ -445,14 +445,37 @@
 	return w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
 }
 
+const (
+	// urgentProbeAfter is how long the probe of a worker in quarantine waits for batch work
+	// before an urgent task becomes the probe. Urgent tasks have few attempts.
+	urgentProbeAfter = 5 * time.Second
+	// scarceProbeAfter is how long a group waits for other workers before its tasks become
+	// probes in any case. The workers in quarantine may be the only ones that it can use.
+	scarceProbeAfter = reserveAfter
+)
+
+// mayProbe reports whether a task of a group may be the probe of a worker in quarantine. The
+// members of a gang, which end together, count as one probe, and fail together.
+func (c *Cell) mayProbe(g *group, q *jobs.Queue, w *worker) bool {
+	switch {
+	case !w.probeAllowed:
+		return false
+	case c.now.Sub(g.readyAt) >= scarceProbeAfter:
+		return true
+	case g.step.Gang:
+		return false
+	}
+	return q.Priority > 0 || c.now.Sub(w.probeDueAt) >= urgentProbeAfter
+}
+
 // taskLimit returns how many more tasks of a group a worker may get, independently of its
-// free resources; negative: no limit. A worker in quarantine gets one, the probe.
+// free resources; negative: no limit. A worker in quarantine gets one probe.
 func (c *Cell) taskLimit(g *group, w *worker) int {
 	limit := -1
 	if g.step.MaxPerWorker > 0 {
 		limit = max(0, g.step.MaxPerWorker-w.stepTasks(g))
 	}
-	if c.health.Quarantined(w.info.Name) && limit != 0 {
+	if limit != 0 && !g.step.Gang && c.health.Quarantined(w.info.Name) {
 		return 1
 	}
 	return limit
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -232,6 +232,7 @@
 	nextSpeedCheck model.Time // earliest time of the next check of its speed
 	statusInFlight bool       // a StatusOnly renewal is in flight
 	probeAllowed   bool       // may get one probe task although it is quarantined
+	probeDueAt     model.Time // since when probeAllowed is set
 }
 
 // free returns the free resources of a worker.
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -373,7 +373,9 @@
 	}
 	for _, name := range c.health.StartDueProbes(c.now) {
 		if w := c.workers[name]; w != nil {
-			w.probeAllowed = true
+			if !w.probeAllowed {
+				w.probeAllowed, w.probeDueAt = true, c.now
+			}
 		}
 	}
 }
