--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -200,7 +200,7 @@
 	claims := make([]claim, 0, len(names))
 	for _, name := range names {
 		w := c.workers[name]
-		tasks := float64(min(fit.Count(d, w.unclaimed()), g.pending)) * eligibleProbability(g, w, share) / policy.Oversampling
+		tasks := float64(min(c.countAt(g, d, w, w.unclaimed()), g.pending)) * eligibleProbability(g, w, share) / policy.Oversampling
 		cpu := int64(tasks * float64(d.Need.MilliCPU))
 		w.claimed += cpu
 		claims = append(claims, claim{w, cpu})
@@ -263,7 +263,7 @@
 		if f := w.unclaimed(); d.Need.MilliCPU+d.Headroom <= f.MilliCPU && d.Need.MemoryMB <= f.MemoryMB {
 			fitting++
 			if g.step.Gang {
-				reachable.Add(eligibleProbability(g, w, share), min(fit.Count(d, f), g.pending))
+				reachable.Add(eligibleProbability(g, w, share), min(c.countAt(g, d, w, f), g.pending))
 			}
 		}
 	}
@@ -273,7 +273,7 @@
 		return nil // another call frees no resources
 	}
 	// Half of a worker is taken to be in use.
-	perWorker := max(1, fit.Count(fit.Demand{Need: d.Need}, pool[0].info.Capacity)/2)
+	perWorker := max(1, g.count(fit.Demand{Need: d.Need}, pool[0].info.Capacity)/2)
 	chosen := firstWorkers(pool, policy.WorkerCount(missing, perWorker, share), func(a, b *worker) int {
 		return cmp.Or(-cmp.Compare(eligibleWithRoom(g, a), eligibleWithRoom(g, b)), -cmp.Compare(a.unclaimed().MilliCPU, b.unclaimed().MilliCPU))
 	})
@@ -284,7 +284,7 @@
 			break
 		}
 		names = append(names, w.info.Name)
-		asked.Add(eligibleProbability(g, w, share), min(fit.Count(d, w.unclaimed()), g.pending))
+		asked.Add(eligibleProbability(g, w, share), min(c.countAt(g, d, w, w.unclaimed()), g.pending))
 	}
 	return names
 }
@@ -312,7 +312,7 @@
 	d, n := fit.Demand{Need: taskDemand(g.step), Headroom: c.headroom(g)}, 0
 	for i := range g.permits {
 		if p := &g.permits[i]; n < g.pending && c.permitValidAt(p, at) && p.worker.usable(c.now) {
-			n += fit.Count(d, p.worker.free())
+			n += c.countAt(g, d, p.worker, p.worker.free())
 		}
 	}
 	return min(n, g.pending)
--- a/internal/cell/observability.go
+++ b/internal/cell/observability.go
@@ -67,9 +67,9 @@
 				continue
 			}
 		}
-		permitted += fit.Count(withoutHeadroom, w.info.Capacity)
-		roomAndHeadroom += fit.Count(withoutHeadroom, w.free())
-		room += fit.Count(d, w.free())
+		permitted += g.count(withoutHeadroom, w.info.Capacity)
+		roomAndHeadroom += c.countAt(g, withoutHeadroom, w, w.free())
+		room += c.countAt(g, d, w, w.free())
 	}
 	reason := "other work has the workers reserved"
 	switch {
--- a/internal/cell/placement_limits_test.go
+++ b/internal/cell/placement_limits_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
+	policy "github.com/gentianpick/gentianpick/internal/policy/eligibility"
 )
 
 // quarantineBeside starts a job of long tasks, of which one may be on each worker, and then
@@ -194,3 +195,31 @@
 		})
 	}
 }
+
+// Guards against a step with a limit that needs several rounds of eligibility calls on an idle
+// site, since each call asks about as many workers as tasks without a limit would need.
+func TestStepWithLimitAsksAboutEnoughWorkers(t *testing.T) {
+	const tasks = 40
+	is := is.New(t)
+	s, n := newLargeSite(1)
+	st := loadStep{MilliCPU: 2000, MemoryMB: 1000}
+	for range tasks {
+		st.RunMs = append(st.RunMs, (5 * time.Second).Milliseconds())
+	}
+	s.load.queues[2].limited = 1
+	id := s.load.add(s, n, 0, &loadJob{Queue: "booking", Steps: []loadStep{st}})
+	job := s.submitted[id]
+	job.Steps[0].MaxPerWorker = 1
+	s.submitted[id] = job
+	placed := 0
+	record := s.onLog
+	s.onLog = func(l Log) {
+		record(l)
+		if l.Message == "task placed" {
+			placed++
+		}
+	}
+	s.run(s.load.queueOf("booking").Eligibility.CallDuration(policy.MaxWorkers) + 200*time.Millisecond)
+	t.Logf("%d tasks placed after one round of calls", placed)
+	is.Equal(placed, tasks)
+}
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -132,8 +132,8 @@
 		if q.Eligibility.Required() {
 			p = eligibleProbability(g, w, share)
 		}
-		room += p * float64(fit.Count(with, w.info.Capacity))
-		all += p * float64(fit.Count(without, w.info.Capacity))
+		room += p * float64(g.count(with, w.info.Capacity))
+		all += p * float64(g.count(without, w.info.Capacity))
 	}
 	g.headroomCheckedAt = c.now
 	g.onlyWithoutHeadroom = room < float64(g.pending) && all >= float64(g.pending)
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -286,7 +286,7 @@
 	for _, w := range c.workerList {
 		if (!q.Eligibility.Required() || g.eligibilityAt(w) == eligibleYes) && c.canRun(g, q, w) && c.reservedFor[w] == nil {
 			pool = append(pool, w)
-			total += fit.Count(d, w.info.Capacity)
+			total += g.count(d, w.info.Capacity)
 		}
 	}
 	if total < g.pending {
@@ -298,7 +298,7 @@
 		if len(c.reservedFor)+i+1 > max(minReserved, int(maxReservedShare*float64(len(c.workerList)))) {
 			return
 		}
-		if capacity += fit.Count(d, w.info.Capacity); capacity < g.pending {
+		if capacity += g.count(d, w.info.Capacity); capacity < g.pending {
 			continue
 		}
 		g.reserved = pool[:i+1]
@@ -481,6 +481,26 @@
 	return limit
 }
 
+// count returns how many tasks of a group fit into free resources of one worker, at most as
+// many as may be at a worker.
+func (g *group) count(d fit.Demand, free model.Resources) int {
+	n := fit.Count(d, free)
+	if g.step.MaxPerWorker > 0 {
+		n = min(n, g.step.MaxPerWorker)
+	}
+	return n
+}
+
+// countAt is count for a worker's free resources, less the tasks of the step that the worker
+// holds.
+func (c *Cell) countAt(g *group, d fit.Demand, w *worker, free model.Resources) int {
+	n := fit.Count(d, free)
+	if limit := c.taskLimit(g, w); limit >= 0 {
+		n = min(n, limit)
+	}
+	return n
+}
+
 // stepTasks returns how many tasks of a group's step a worker holds, as far as the owner
 // knows. Runs that this owner did not place count too.
 func (w *worker) stepTasks(g *group) int {
