--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -94,6 +94,7 @@
 	if c.config != nil && cfg.Version <= c.config.Version {
 		return
 	}
+	c.keepRemovedQueues(cfg)
 	c.config = cfg
 	c.log("configuration applied", "", Fields{Count: int(cfg.Version)})
 	c.fullSortNeeded = true
@@ -121,12 +122,43 @@
 	c.removeExpired()
 }
 
-// queueOf returns the configuration of a job's queue. A queue that was removed from
-// the configuration has the lowest priority, and its jobs still run.
+// keepRemovedQueues keeps the queues that a new configuration removes, and those removed
+// earlier that still have unfinished jobs.
+func (c *Cell) keepRemovedQueues(next *jobs.Config) {
+	if c.config == nil {
+		return
+	}
+	present := make(map[string]bool, len(next.Queues))
+	for i := range next.Queues {
+		present[next.Queues[i].Name] = true
+	}
+	kept := map[string]*jobs.Queue{}
+	if len(c.removedQueues) > 0 {
+		for _, j := range c.jobs {
+			if q := c.removedQueues[j.queue]; q != nil && !j.state.Final() && !present[j.queue] {
+				kept[j.queue] = q
+			}
+		}
+	}
+	for i := range c.config.Queues {
+		if q := &c.config.Queues[i]; !present[q.Name] {
+			removed := *q
+			removed.Priority = lowestPriority
+			kept[q.Name] = &removed
+		}
+	}
+	c.removedQueues = kept
+}
+
+// queueOf returns the configuration of a job's queue. A queue that was removed from the
+// configuration has the lowest priority, and its jobs run on the workers of its last service.
 func (c *Cell) queueOf(j *job) *jobs.Queue {
 	if j.queueConfig == nil || j.configured != c.config {
 		// Each scheduling pass needs the queues of thousands of waiting jobs.
 		j.configured, j.queueConfig = c.config, c.config.Queue(j.queue)
+		if j.queueConfig == nil {
+			j.queueConfig = c.removedQueues[j.queue]
+		}
 		if j.queueConfig == nil {
 			j.queueConfig = &jobs.Queue{Name: j.queue, Priority: lowestPriority, MaxAttempts: 1}
 		}
--- a/internal/cell/placement_limits_test.go
+++ b/internal/cell/placement_limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -223,3 +224,28 @@
 	t.Logf("%d tasks placed after one round of calls", placed)
 	is.Equal(placed, tasks)
 }
+
+// Guards against accepted jobs that are never started since a configuration removed their
+// queue, and against starts of them elsewhere than at its last service.
+func TestJobsOfRemovedQueueRunAtItsLastService(t *testing.T) {
+	is := is.New(t)
+	s, n := newSimWithOwner(t, 2, 2)
+	s.workers[0].service = "svc-2"
+	s.workers[0].announce()
+	const id = "00000000000000aa"
+	second := jobs.Step{Tasks: 2, Resources: cores(1), EstimateMs: 300, After: []int{0}}
+	j := jobs.Job{ID: id, Queue: "batch", Steps: []jobs.Step{{Tasks: 2, Resources: cores(1), EstimateMs: 1000}, second}}
+	s.submitted[id] = j
+	s.store.submissions = append(s.store.submissions, Entry{Key: jobs.JobKey(id), Value: jobs.Encode(j)})
+	s.run(200 * time.Millisecond)
+	for version := range int64(3) {
+		next := &jobs.Config{Version: 2 + version, Queues: slices.Clone(s.cfg.Queues[:1])}
+		for _, o := range s.nodes {
+			o.send(o.incarnation, ConfigChanged{Config: next})
+		}
+	}
+	s.run(10 * time.Second)
+	v, _ := n.cell.Job(id)
+	is.Equal(v.State, jobs.Completed)
+	is.Equal(s.violations, nil)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -282,6 +282,7 @@
 	effects []Effect
 
 	config        *jobs.Config
+	removedQueues map[string]*jobs.Queue // that configurations have removed while they had unfinished jobs
 	jobs          map[jobs.ID]*job
 	earlyProgress map[jobs.ID]*jobs.Progress // progress of jobs whose submission was not read yet
 	earlyCancels  map[jobs.ID][]int          // partitions of cancellations whose submission was not read yet
