--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -182,6 +182,9 @@
 	if w == nil {
 		// The index never changes, unlike the worker's position in workerList.
 		w = &worker{index: c.unusedIndex(), info: jobs.WorkerInfo{Name: name}, runs: map[jobs.TaskRef]*placement{}}
+		if c.ownerReady {
+			w.leaseEnd = c.now.Add(c.longestLease()) // an earlier owner may have granted one
+		}
 		c.workers[name] = w
 		at, _ := slices.BinarySearchFunc(c.workerList, name, func(w *worker, n model.WorkerName) int {
 			return cmp.Compare(w.info.Name, n)
--- a/internal/cell/placement_limits_test.go
+++ b/internal/cell/placement_limits_test.go
@@ -249,3 +249,46 @@
 	is.Equal(v.State, jobs.Completed)
 	is.Equal(s.violations, nil)
 }
+
+// Guards against a run that an earlier owner started and that is taken for over while it goes
+// on, since its worker registered after the change of owner and had no lease by this one.
+func TestForeignRunAtLaterWorkerHoldsItsRoom(t *testing.T) {
+	is := is.New(t)
+	s, n := newSimWithOwner(t, 1, 1)
+	s.storeJob("00000000000000aa", "batch", jobs.Step{Tasks: 2, Resources: cores(1), EstimateMs: 3000, MaxPerWorker: 1, Label: "kind-a"})
+	s.run(time.Second)
+	w := s.addWorker()
+	w.labels, w.stopDelay = []string{"kind-a"}, 3*time.Second
+	w.runs[jobs.TaskRef{Job: "00000000000000aa", Index: 1}] = &simRun{run: 1, need: cores(1), since: s.now, duration: time.Minute}
+	w.announce()
+	for n.cell.workers[w.name] == nil || !n.cell.workers[w.name].renewInFlight {
+		s.run(time.Millisecond)
+	}
+	n.paused = true // the answer and the next tick are handled together
+	s.run(900 * time.Millisecond)
+	n.paused = false
+	n.send(n.incarnation, append(n.heldEvents, n.tick())...)
+	n.heldEvents = nil
+	s.run(20 * time.Second)
+	is.Equal(s.violations, nil)
+}
+
+// Guards against a run that is never stopped, not even when its job is cancelled, since the
+// stored placement of its task has another run number.
+func TestOtherRunThanInheritedOneIsStopped(t *testing.T) {
+	const id = "00000000000000aa"
+	is := is.New(t)
+	s := newSim(1, 1, 1)
+	s.storeJob(id, "batch", jobs.Step{Tasks: 1, Resources: cores(1), EstimateMs: 60_000})
+	w := s.workers[0]
+	p := jobs.Progress{State: jobs.Running, Groups: []jobs.GroupProgress{{Tasks: []jobs.TaskProgress{{Run: 2, Worker: w.name}}}}}
+	s.store.progress = append(s.store.progress, Entry{Key: jobs.ProgressKey(id), Value: jobs.Encode(&p)})
+	w.runs[jobs.TaskRef{Job: id}] = &simRun{run: 1, need: cores(1), since: s.now, duration: time.Hour}
+	w.extend(model.WorkerTime(simLease))
+	s.run(5 * time.Second)
+	is.True(w.runs[jobs.TaskRef{Job: id}].run > 2) // stopped, and started again
+	s.store.submissions = append(s.store.submissions, Entry{Key: jobs.CancelKey(id), Value: []byte("{}")})
+	s.run(5 * time.Second)
+	is.Equal(len(w.runs), 0)
+	is.Equal(s.violations, nil)
+}
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -265,7 +265,7 @@
 			p.stopAccepted = false
 		}
 	}
-	w.epochAccepted, w.seenEndSeq, w.storedEndSeq = false, 0, 0
+	w.epochAccepted, w.seenEndSeq, w.storedEndSeq, w.probeAllowed = false, 0, 0, false
 	w.leaseEnd = c.now.Add(c.longestLease())
 	c.health.ForgetWorker(w.info.Name)
 }
@@ -329,9 +329,9 @@
 }
 
 // stopForeign stops a run that this owner did not place. The usual cause is an abandoned
-// placement of an earlier owner. If the worker has another placement of the same task, the
-// run is not stopped: with an inherited placement it is only logged and counted, and with
-// any other placement it is only logged, and only if it is the newer run.
+// placement of an earlier owner. If the worker has an inherited placement of the same task,
+// that placement becomes the listed run. With any other placement of the task the run is not
+// stopped, and only logged if it is the newer one.
 func (c *Cell) stopForeign(w *worker, r *RunStatus, known *placement) {
 	if known != nil && known.phase != phaseInherited {
 		if r.Run > known.run {
@@ -341,17 +341,18 @@
 	}
 	c.log("worker lists a run that this owner did not place", r.Task.Job, Fields{Task: r.Task, HasTask: true, Run: r.Run, Worker: w.info.Name, Epoch: c.epoch})
 	c.count("foreign_runs_total", "")
-	p := &placement{ref: r.Task, worker: w, run: r.Run, phase: phaseRunning, confirmedAt: c.now, plannedAt: c.now}
-	if j := c.jobs[r.Task.Job]; j != nil {
-		if g := j.group(r.Task.Occurrence, r.Task.Step); g != nil {
-			p.need = taskDemand(g.step)
+	p := known
+	if p == nil {
+		p = &placement{ref: r.Task, worker: w, plannedAt: c.now}
+		if j := c.jobs[r.Task.Job]; j != nil {
+			if g := j.group(r.Task.Occurrence, r.Task.Step); g != nil {
+				p.need = taskDemand(g.step)
+			}
 		}
+		w.runs[p.ref] = p
+		w.used = w.used.Add(p.need)
 	}
-	if known != nil {
-		return
-	}
-	w.runs[p.ref] = p
-	w.used = w.used.Add(p.need)
+	p.run, p.phase, p.confirmedAt = r.Run, phaseRunning, c.now
 	c.checkStepLimit(p)
 	c.stop(p, "not placed by this owner")
 }
@@ -393,6 +394,9 @@
 		c.count("quarantines_total", "")
 	}
 	for _, name := range change.Released {
+		if released := c.workers[name]; released != nil {
+			released.probeAllowed = false
+		}
 		c.log("worker released from quarantine", "", Fields{Worker: name})
 	}
 }
