--- a/internal/cell/eligibility.go
+++ b/internal/cell/eligibility.go
@@ -98,7 +98,8 @@
 const maxQueryDoublings = 3
 
 // maxProbesPerQuery bounds the workers in quarantine that a group which is no gang asks about
-// at the same time, since its tasks probably fail there.
+// at the same time, since its tasks probably fail there. Workers that another group asks
+// about are left out: each of them gets one probe.
 const maxProbesPerQuery = 1
 
 // queryEligibility starts the eligibility calls for a group, if there are workers to
@@ -249,15 +250,14 @@
 		if d.Need.MilliCPU > w.info.Capacity.MilliCPU || d.Need.MemoryMB > w.info.Capacity.MemoryMB {
 			continue
 		}
-		quarantined := c.health.Quarantined(w.info.Name)
-		if quarantined && (!c.mayProbe(g, q, w) || !g.step.Gang && probes == maxProbesPerQuery) {
+		if w.quarantined && (!c.mayProbe(g, q, w) || !g.step.Gang && (probes == maxProbesPerQuery || w.claimed > 0)) {
 			continue
 		}
 		if at, ok := g.findPermit(w); ok && c.permitValidAt(&g.permits[at], answerAt) {
 			continue
 		}
 		pool = append(pool, w)
-		if quarantined {
+		if w.quarantined {
 			probes++
 		}
 		if f := w.unclaimed(); d.Need.MilliCPU+d.Headroom <= f.MilliCPU && d.Need.MemoryMB <= f.MemoryMB {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -357,7 +357,7 @@
 	c.plannedPlacements = append(c.plannedPlacements, p)
 	c.observe("placement_wait_seconds", g.job.queue, c.now.Sub(g.readyAt))
 	placed := Fields{Task: p.ref, HasTask: true, Run: run, Worker: w.info.Name, Age: c.now.Sub(g.readyAt), Count: int(w.free().MilliCPU)}
-	if c.health.Quarantined(w.info.Name) {
+	if w.quarantined {
 		placed.Reason = "probe"
 	}
 	c.log("task placed", g.job.id, placed.withStepTasks(g, w))
@@ -372,7 +372,7 @@
 		if !c.canRun(g, q, w) || q.Priority > 0 && c.reservedFor[w] != nil {
 			return
 		}
-		if c.health.Quarantined(w.info.Name) && !c.mayProbe(g, q, w) {
+		if w.quarantined && !c.mayProbe(g, q, w) {
 			return
 		}
 		out = append(out, fit.Candidate{
@@ -475,7 +475,7 @@
 	if g.step.MaxPerWorker > 0 {
 		limit = max(0, g.step.MaxPerWorker-w.stepTasks(g))
 	}
-	if limit != 0 && !g.step.Gang && c.health.Quarantined(w.info.Name) {
+	if limit != 0 && !g.step.Gang && w.quarantined {
 		return 1
 	}
 	return limit
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -231,6 +231,7 @@
 	pausedUntil    model.Time
 	nextSpeedCheck model.Time // earliest time of the next check of its speed
 	statusInFlight bool       // a StatusOnly renewal is in flight
+	quarantined    bool       // fails all tasks; follows the health tracker
 	probeAllowed   bool       // may get one probe task although it is quarantined
 	probeDueAt     model.Time // since when probeAllowed is set
 }
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -265,7 +265,8 @@
 			p.stopAccepted = false
 		}
 	}
-	w.epochAccepted, w.seenEndSeq, w.storedEndSeq, w.probeAllowed = false, 0, 0, false
+	w.epochAccepted, w.seenEndSeq, w.storedEndSeq = false, 0, 0
+	w.quarantined, w.probeAllowed = false, false
 	w.leaseEnd = c.now.Add(c.longestLease())
 	c.health.ForgetWorker(w.info.Name)
 }
@@ -390,12 +391,15 @@
 	}
 	change := c.health.RecordTaskEnd(c.now, w.info.Name, model.JobID(g.job.id), e.Outcome == jobs.OutcomeDone)
 	for _, name := range change.Quarantined {
+		if failing := c.workers[name]; failing != nil {
+			failing.quarantined = true
+		}
 		c.log("worker quarantined", g.job.id, Fields{Worker: name, Reason: "failures in a row"})
 		c.count("quarantines_total", "")
 	}
 	for _, name := range change.Released {
 		if released := c.workers[name]; released != nil {
-			released.probeAllowed = false
+			released.quarantined, released.probeAllowed = false, false
 		}
 		c.log("worker released from quarantine", "", Fields{Worker: name})
 	}
