--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -445,27 +445,24 @@
 	return w.info.Service == q.Service && (g.step.Label == "" || slices.Contains(w.info.Labels, g.step.Label))
 }
 
-const (
-	// urgentProbeAfter is how long the probe of a worker in quarantine waits for batch work
-	// before an urgent task becomes the probe. Urgent tasks have few attempts.
-	urgentProbeAfter = 5 * time.Second
-	// scarceProbeAfter is how long a group waits for other workers before its tasks become
-	// probes in any case. The workers in quarantine may be the only ones that it can use.
-	scarceProbeAfter = reserveAfter
-)
+// lastResortProbeAfter is how long a probe waits for batch work before an urgent task becomes
+// it, and how long a group waits for other workers before its tasks become probes in any
+// case: the workers in quarantine may be the only ones that it can use. Urgent tasks have few
+// attempts, and a gang fails whole.
+const lastResortProbeAfter = 5 * time.Second
 
 // mayProbe reports whether a task of a group may be the probe of a worker in quarantine. The
-// members of a gang, which end together, count as one probe, and fail together.
+// members of a gang, which end together, count as one probe.
 func (c *Cell) mayProbe(g *group, q *jobs.Queue, w *worker) bool {
 	switch {
 	case !w.probeAllowed:
 		return false
-	case c.now.Sub(g.readyAt) >= scarceProbeAfter:
+	case c.now.Sub(g.readyAt) >= lastResortProbeAfter:
 		return true
 	case g.step.Gang:
 		return false
 	}
-	return q.Priority > 0 || c.now.Sub(w.probeDueAt) >= urgentProbeAfter
+	return q.Priority > 0 || c.now.Sub(w.probeDueAt) >= lastResortProbeAfter
 }
 
 // taskLimit returns how many more tasks of a group a worker may get, independently of its
