--- /dev/null
+++ b/internal/cell/steplimits.go
@@ -0,0 +1,74 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/model"
+	"github.com/gentianpick/gentianpick/internal/policy/fit"
+)
+
+// lastResortProbeAfter is how long a probe waits for batch work before an urgent task becomes
+// it, and how long a group waits for other workers before its tasks become probes in any
+// case: the workers in quarantine may be the only ones that it can use. Urgent tasks have few
+// attempts, and a gang fails whole.
+const lastResortProbeAfter = 5 * time.Second
+
+// mayProbe reports whether a task of a group may be the probe of a worker in quarantine. The
+// members of a gang, which end together, count as one probe.
+func (c *Cell) mayProbe(g *group, q *jobs.Queue, w *worker) bool {
+	switch {
+	case !w.probeAllowed:
+		return false
+	case c.now.Sub(g.readyAt) >= lastResortProbeAfter:
+		return true
+	case g.step.Gang:
+		return false
+	}
+	return q.Priority > 0 || c.now.Sub(w.probeDueAt) >= lastResortProbeAfter
+}
+
+// taskLimit returns how many more tasks of a group a worker may get, independently of its
+// free resources; negative: no limit. A worker in quarantine gets one probe.
+func (c *Cell) taskLimit(g *group, w *worker) int {
+	limit := -1
+	if g.step.MaxPerWorker > 0 {
+		limit = max(0, g.step.MaxPerWorker-w.stepTasks(g))
+	}
+	if limit != 0 && !g.step.Gang && w.quarantined {
+		return 1
+	}
+	return limit
+}
+
+// count returns how many tasks of a group fit into free resources of one worker, at most as
+// many as may be at a worker.
+func (g *group) count(d fit.Demand, free model.Resources) int {
+	n := fit.Count(d, free)
+	if g.step.MaxPerWorker > 0 {
+		n = min(n, g.step.MaxPerWorker)
+	}
+	return n
+}
+
+// countAt is count for a worker's free resources, less the tasks of the step that the worker
+// holds.
+func (c *Cell) countAt(g *group, d fit.Demand, w *worker, free model.Resources) int {
+	n := fit.Count(d, free)
+	if limit := c.taskLimit(g, w); limit >= 0 {
+		n = min(n, limit)
+	}
+	return n
+}
+
+// stepTasks returns how many tasks of a group's step a worker holds, as far as the owner
+// knows. Runs that this owner did not place count too.
+func (w *worker) stepTasks(g *group) int {
+	n := 0
+	for ref := range w.runs {
+		if ref.Job == g.job.id && ref.Step == g.stepIndex && ref.Occurrence == g.occurrence {
+			n++
+		}
+	}
+	return n
+}
