--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -34,6 +35,8 @@
 	mu   sync.Mutex
 	life *life
 	srv  *http.Server
+	// intercept, if set, sees each call first; one for which it returns true gets no answer.
+	intercept func(r *http.Request, body []byte) bool
 }
 
 // life is one incarnation of a worker.
@@ -217,8 +220,19 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		intercept := w.intercept
+		w.mu.Unlock()
+		if intercept != nil && intercept(r, body) {
+			<-r.Context().Done()
+			return
+		}
 		var o order
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		if err := json.Unmarshal(body, &o); err != nil {
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
