Cell: the cost of a job grows in proportion to its size

Cause: on each tick, every group that waits for its time had all groups of its job looked at, and each of these searched in the list of waiting groups: the cube of the occurrences, under the lock that every request takes. Each successor did the same. Two more costs had the same cause, all groups of a job looked at for one of them: the groups that may start after a finished step, and the longest chain of steps of each waiting group.

Jobs with occurrences that are not due yet are kept in a heap by the time of the next one. A group counts the steps that it waits for, and a finished group looks at its successors alone. The chains of a job's steps are computed once; an occurrence keeps its position in their order.

TestLargeJobsAreVisitedInProportion plays eleven shapes of large jobs.

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -46,7 +46,7 @@
 		return b
 	}
 	newcomer := &job{queue: n.Queue, steps: n.Steps, schedule: n.Schedule, arrived: c.now}
-	chain := c.runTime(newcomer, newcomer.longestChain(0, false))
+	chain := c.runTime(newcomer, longestChain(n.Steps))
 	in := c.rankInput(newcomer, c.now, chain, chain)
 	own := rank.Key(c.now, in)
 	b.MaxWait = rank.UselessFactor*in.Objective() - chain
@@ -129,6 +129,7 @@
 // dropUnstored removes a job that no stream has. None of its tasks was started.
 func (c *Cell) dropUnstored(j *job) {
 	j.state = jobs.Cancelled
+	c.dropDelayed(j)
 	for _, g := range j.groups {
 		for i := range g.tasks {
 			if p := g.tasks[i].placement; p != nil {
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"slices"
-
 	"github.com/gentianpick/gentianpick/internal/jobs"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
@@ -14,6 +12,7 @@
 		return
 	}
 	if j.groups == nil {
+		j.graph, j.occurrences = newStepGraph(j.steps), make([]occurrence, j.schedule.OccurrenceCount())
 		for k := range j.schedule.OccurrenceCount() {
 			for i := range j.steps {
 				g := &group{job: j, occurrence: k, stepIndex: i, step: &j.steps[i], tasks: make([]task, j.steps[i].Tasks)}
@@ -37,7 +36,8 @@
 	}
 	c.recordUrgent(j)
 	j.sizeTenth = c.stats(j.queue).sizes.Add(j.size())
-	c.enqueueGroups(j)
+	c.countFinished(j)
+	c.enqueueOccurrences(j)
 	c.finishIfDone(j)
 }
 
@@ -56,7 +56,7 @@
 	}
 	g.run, g.failures, g.lastFailedRun = p.Run, p.Failures, p.FailedRun
 	for i := range g.tasks {
-		if p.Done.Has(i) {
+		if p.Done.Has(i) && g.tasks[i].state != taskDone {
 			g.tasks[i].state = taskDone
 			g.pending--
 			g.doneCount++
@@ -91,33 +91,6 @@
 
 func (g *group) finished() bool { return g.doneCount == len(g.tasks) }
 
-// enqueueGroups queues the groups of a job that may start now, and records those that
-// wait for their scheduled time.
-func (c *Cell) enqueueGroups(j *job) {
-	for _, g := range j.groups {
-		if g.readyAt != 0 || g.finished() || !c.predecessorsDone(g) {
-			continue
-		}
-		if due := j.schedule.DueMs(g.occurrence); due > c.unixMs {
-			if !slices.Contains(c.delayedGroups, g) {
-				c.delayedGroups = append(c.delayedGroups, g)
-			}
-			continue
-		}
-		g.readyAt = c.now
-		c.enqueue(g)
-	}
-}
-
-func (c *Cell) predecessorsDone(g *group) bool {
-	for _, a := range g.step.After {
-		if !g.job.group(g.occurrence, a).finished() {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Cell) enqueue(g *group) {
 	if !g.queued && g.pending > 0 {
 		g.queued = true
@@ -127,20 +100,6 @@
 	}
 }
 
-// enqueueDue queues the delayed groups whose scheduled time has been reached.
-func (c *Cell) enqueueDue() {
-	if len(c.delayedGroups) == 0 {
-		return
-	}
-	due := c.delayedGroups
-	c.delayedGroups = nil
-	for _, g := range due {
-		if !g.job.cancelled && !g.job.state.Final() {
-			c.enqueueGroups(g.job)
-		}
-	}
-}
-
 func (c *Cell) newPlacement(g *group, index int, w *worker, run int) *placement {
 	p := &placement{group: g, ref: g.ref(index), worker: w, run: run, need: taskDemand(g.step), plannedAt: c.now, progressAt: c.now}
 	t := &g.tasks[index]
@@ -239,28 +198,22 @@
 	g.doneCount++
 	if g.finished() {
 		g.permits, g.eligible = nil, nil
-		g.job.stepsDone++
-		c.enqueueGroups(g.job)
+		c.groupFinished(g)
 	}
 	c.markDirty(g.job)
 	c.finishIfDone(g.job)
 }
 
 func (c *Cell) finishIfDone(j *job) {
-	if j.state.Final() {
-		return
-	}
-	for _, g := range j.groups {
-		if !g.finished() {
-			return
-		}
+	if !j.state.Final() && j.finishedGroups == len(j.groups) {
+		c.finish(j, jobs.Completed, "")
 	}
-	c.finish(j, jobs.Completed, "")
 }
 
 // finish sets a job's final state and stops its remaining runs.
 func (c *Cell) finish(j *job, s jobs.State, reason string) {
 	j.state, j.finishedMs = s, c.unixMs
+	c.dropDelayed(j)
 	c.log("job finished", j.id, Fields{Outcome: string(s), Reason: reason, Age: c.now.Sub(j.arrived), Count: j.sizeTenth})
 	c.observe("job_seconds", j.queue, c.now.Sub(j.arrived))
 	c.count("jobs_finished_total", string(s))
--- a/internal/cell/observability.go
+++ b/internal/cell/observability.go
@@ -34,7 +34,7 @@
 	}
 	outcome := "failed"
 	if j.state == jobs.Completed {
-		chain := c.runTime(j, j.longestChain(0, false))
+		chain := c.runTime(j, j.totalChain())
 		objective := c.rankInput(j, j.arrived, chain, chain).Objective()
 		switch took := c.now.Sub(j.arrived); {
 		case took <= objective:
--- a/internal/cell/replay.go
+++ b/internal/cell/replay.go
@@ -19,7 +19,7 @@
 	j := &job{
 		id: s.ID, queue: s.Queue, payload: s.Payload, schedule: s.Schedule, steps: s.Steps,
 		submittedMs: s.SubmittedMs, arrived: c.now, state: jobs.Queued, storedState: jobs.Queued,
-		unappliedProgress: c.earlyProgress[s.ID], partitions: []int{partition},
+		unappliedProgress: c.earlyProgress[s.ID], partitions: []int{partition}, dueIndex: notDelayed,
 	}
 	if at, ok := c.earlyCancels[s.ID]; ok {
 		j.cancelled, j.cancelPartitions = true, at
@@ -98,7 +98,7 @@
 
 // dropDetails drops the data that only an unfinished job needs.
 func (j *job) dropDetails() {
-	j.payload, j.steps, j.groups, j.unappliedProgress = "", nil, nil, nil
+	j.payload, j.steps, j.groups, j.graph, j.occurrences, j.unappliedProgress = "", nil, nil, nil, nil, nil
 }
 
 // dropDetailsIfOver drops the details of a finished job unless it has runs left, which
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -149,13 +149,7 @@
 	if due := g.job.schedule.DueMs(g.occurrence); due != 0 {
 		arrived = g.readyAt
 	}
-	if k := &g.chains; !k.valid || k.stepsDone != g.job.stepsDone {
-		*k = chainEstimates{
-			valid: true, stepsDone: g.job.stepsDone,
-			totalMs: g.job.longestChain(g.occurrence, false), remainingMs: g.job.longestChain(g.occurrence, true),
-		}
-	}
-	return c.rankInput(g.job, arrived, c.runTime(g.job, g.chains.totalMs), c.runTime(g.job, g.chains.remainingMs))
+	return c.rankInput(g.job, arrived, c.runTime(g.job, g.job.totalChain()), c.runTime(g.job, g.job.remainingChain(g.occurrence)))
 }
 
 func (c *Cell) rankInput(j *job, arrived model.Time, chain, remaining time.Duration) rank.Input {
@@ -166,27 +160,6 @@
 	}
 }
 
-// longestChain returns the estimate of the longest chain of steps of one
-// occurrence, or of its unfinished ones, in milliseconds.
-func (j *job) longestChain(occurrence int, unfinished bool) int64 {
-	var ends [16]int64
-	all := ends[:0]
-	longest := int64(0)
-	for i := range j.steps {
-		own := j.steps[i].EstimateMs
-		if unfinished && j.group(occurrence, i).finished() {
-			own = 0
-		}
-		begin := int64(0)
-		for _, a := range j.steps[i].After {
-			begin = max(begin, all[a])
-		}
-		all = append(all, begin+own)
-		longest = max(longest, begin+own)
-	}
-	return longest
-}
-
 // placeGroup places as many tasks of a group as possible, and requests missing
 // permits.
 func (c *Cell) placeGroup(g *group) {
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -48,8 +48,9 @@
 	// formerServices are the services that earlier configurations sent a queue to.
 	formerServices map[string][]string
 	// constraints gives random jobs limits, labels and services; nil for none.
-	constraints *rand.Rand
-	load        *loadRun // if set, run times and eligibility come from a load profile
+	constraints  *rand.Rand
+	reliableRuns bool     // no run fails
+	load         *loadRun // if set, run times and eligibility come from a load profile
 }
 
 const simLease = 6 * time.Second
@@ -147,7 +148,8 @@
 	unreachable map[*simWorker]bool
 	// draining makes every new cell of the instance drain, as in the driver.
 	draining bool
-	link     *simLink // nil if its calls have no limits
+	link     *simLink            // nil if its calls have no limits
+	onStep   func(time.Duration) // if set, is told how long each step of the cell took
 
 	submissionsRead, progressRead int
 	firstSeq                      int64
@@ -307,7 +309,12 @@
 		n.heldEvents = append(n.heldEvents, events...)
 		return
 	}
-	for _, e := range n.cell.Step(n.s.now, events...) {
+	began := time.Now()
+	effects := n.cell.Step(n.s.now, events...)
+	if n.onStep != nil {
+		n.onStep(time.Since(began))
+	}
+	for _, e := range effects {
 		if n.perform(incarnation, e) {
 			return
 		}
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -313,7 +313,7 @@
 		took += held
 	}
 	outcome := jobs.OutcomeDone
-	if s.rnd.Float64() < 0.05 || job.Payload == "hopeless" {
+	if s.rnd.Float64() < 0.05 && !s.reliableRuns || job.Payload == "hopeless" {
 		outcome = jobs.OutcomeFailed
 	}
 	if s.load != nil {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -21,7 +21,9 @@
 	schedule    jobs.Schedule
 	steps       []jobs.Step
 	groups      []*group // ordered by occurrence, then by step
-	submittedMs int64    // Unix milliseconds, by the receiving VM's clock
+	graph       *stepGraph
+	occurrences []occurrence
+	submittedMs int64 // Unix milliseconds, by the receiving VM's clock
 	arrived     model.Time
 
 	state             jobs.State // as decided by this instance
@@ -29,7 +31,9 @@
 	cancelled         bool
 	started           bool
 	finishedMs        int64 // Unix milliseconds at which the job reached a final state
-	stepsDone         int   // finished groups of all occurrences; invalidates chainEstimates
+	finishedGroups    int   // of all occurrences
+	dueOccurrences    int   // number of occurrences whose scheduled time has been reached
+	dueIndex          int   // position in the cell's dueJobs, or notDelayed
 	sizeTenth         int   // rank by size among the recent jobs of its queue, from 1 to jobsize.Tenths; zero if unknown
 	dirty             bool  // has changes that are in no append yet
 	unappliedProgress *jobs.Progress
@@ -55,9 +59,12 @@
 	tasks      []task
 	hasFailed  bool // a task has failed, so that some workers are to be avoided
 	hasCrashed bool // a task has a crash record
-	pending    int  // number of tasks that wait for a placement
-	doneCount  int
-	readyAt    model.Time // since when its tasks may start; zero before
+	// unfinishedBefore is the number of steps that it waits for; one that is named twice
+	// counts twice.
+	unfinishedBefore int
+	pending          int // number of tasks that wait for a placement
+	doneCount        int
+	readyAt          model.Time // since when its tasks may start; zero before
 	// attemptedAt is when the last attempt to place tasks found no room; zero if it placed
 	// some, or if there are new permits.
 	attemptedAt model.Time
@@ -78,7 +85,6 @@
 	lookedAt        model.Time // when the workers to query were last looked for
 	callsWanted     int        // eligibility calls that the group waits to start together
 	rank            int64      // order among ready groups; the lowest is placed first
-	chains          chainEstimates
 	waitLoggedAt    model.Time // when a log line last told why it waits
 	// onlyWithoutHeadroom says that a gang finds no room beside that for urgent work, as of
 	// headroomCheckedAt.
@@ -86,14 +92,6 @@
 	headroomCheckedAt   model.Time
 }
 
-// chainEstimates are the inputs to the rank of a group that depend on its job's steps.
-// They are cached, since an owner ranks thousands of waiting groups repeatedly.
-type chainEstimates struct {
-	valid                bool
-	stepsDone            int   // of the job when the estimates were computed
-	totalMs, remainingMs int64 // longest chain of all steps, and of the unfinished ones
-}
-
 // eligibility says whether a worker may run the tasks of a group.
 type eligibility uint8
 
@@ -364,9 +362,12 @@
 
 	instances map[string]*instance
 	// instanceList holds all instances, this one first.
-	instanceList  []*instance
-	statsByQueue  map[string]*queueStats
-	delayedGroups []*group // groups that wait for their scheduled time
+	instanceList []*instance
+	statsByQueue map[string]*queueStats
+	dueJobs      dueHeap // jobs with occurrences that wait for their scheduled time
+	// visitedGroups counts the groups that were looked at to find those that may start. It
+	// stays in proportion to the work that is done.
+	visitedGroups int
 }
 
 // pendingAppend is the content of an append in flight.
