Cell: a run beyond the listed ends is not taken for lost

Cause: a worker lists at most 500 ended runs at a time, and the next ones once these are acknowledged. The owner took a run that stood neither among the running ones nor among the listed ends for lost, although its end was not listed yet. A successor, a stopped run, a restarted worker's crash record and the checks for slow workers rested on the same list.

An answer of a worker now says whether it holds all ended runs (internal/listing), over relayed calls too. From a part nothing is concluded about runs that are in neither list; they wait for the next answers, and don't count as runs without progress.

--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -81,7 +82,7 @@
 		case Append:
 			c.answers = append(c.answers, Appended{Seq: e.Seq, SentAt: c.now})
 		case Renew:
-			c.answers = append(c.answers, Renewed{Worker: e.Worker, Verdict: Accepted, Clock: model.WorkerTime(c.now), Boot: 1, SentAt: c.now, StatusOnly: e.StatusOnly, Call: e.Call})
+			c.answers = append(c.answers, Renewed{Worker: e.Worker, Verdict: Accepted, Clock: model.WorkerTime(c.now), Boot: 1, Ended: listing.Whole[RunEnd](), SentAt: c.now, StatusOnly: e.StatusOnly, Call: e.Call})
 		case Start:
 			c.starts++
 			c.answers = append(c.answers, StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Verdict: Accepted, Call: e.Call})
--- a/internal/cell/calls_test.go
+++ b/internal/cell/calls_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/policy/pacing"
 )
@@ -61,7 +62,7 @@
 		w.renewInFlight = true
 		ends = append(ends, Renewed{
 			Worker: w.info.Name, SentAt: now, Verdict: Accepted, Boot: w.boot, Clock: w.clock + model.WorkerTime(time.Second),
-			Ended: []RunEnd{{Seq: w.seenEndSeq + 1, Task: jobs.TaskRef{Job: "00000000000000aa"}, Run: 1, Outcome: jobs.OutcomeDone}},
+			Ended: listing.Whole(RunEnd{Seq: w.seenEndSeq + 1, Task: jobs.TaskRef{Job: "00000000000000aa"}, Run: 1, Outcome: jobs.OutcomeDone}),
 		})
 	}
 	sent := renewalBytes(c.Step(now, ends...))
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -506,7 +507,7 @@
 	} {
 		n.send(n.incarnation, Renewed{
 			Worker: w.info.Name, Verdict: Accepted, Boot: w.boot, Clock: w.clock, SentAt: s.now,
-			Ended:   []RunEnd{{Seq: w.seenEndSeq + 1, Task: task, Run: 1, Outcome: jobs.OutcomeDone}, {Seq: w.seenEndSeq + 2, Task: task, Run: 1, Outcome: jobs.OutcomeFailed}},
+			Ended:   listing.Whole(RunEnd{Seq: w.seenEndSeq + 1, Task: task, Run: 1, Outcome: jobs.OutcomeDone}, RunEnd{Seq: w.seenEndSeq + 2, Task: task, Run: 1, Outcome: jobs.OutcomeFailed}),
 			Running: []RunStatus{{Task: task, Run: i}},
 		})
 	}
--- a/internal/cell/crashes.go
+++ b/internal/cell/crashes.go
@@ -47,13 +47,17 @@
 	return out
 }
 
-// runsNotListed returns the runs of a restarted worker that its new process doesn't list.
+// runsNotListed returns the runs of a restarted worker that its new process doesn't list,
+// if it lists all that it has.
 func (c *Cell) runsNotListed(w *worker, e Renewed) []*placement {
 	listed := make(map[jobs.TaskRef]int, len(e.Running))
 	for i := range e.Running {
 		listed[e.Running[i].Task] = e.Running[i].Run
 	}
 	out := w.lapsed
+	if !e.Ended.IsWhole() {
+		return out
+	}
 	for _, p := range sentPlacements(w) {
 		if listed[p.ref] != p.run && p.confirmedAt <= e.SentAt {
 			out = append(out, p)
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -117,10 +118,10 @@
 	Verdict    Verdict
 	Boot       int64 // number of the worker's start as it reports it; zero if it does not
 	Clock      model.WorkerTime
-	Running    []RunStatus
-	Ended      []RunEnd
-	StatusOnly bool // as in the Renew
-	Call       Call // as in the Renew
+	Running    []RunStatus          // all runs that have not ended
+	Ended      listing.List[RunEnd] // ended runs that are not acknowledged, the oldest first
+	StatusOnly bool                 // as in the Renew
+	Call       Call                 // as in the Renew
 }
 
 // StartAnswered is the answer to a Start.
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -356,7 +356,7 @@
 // stalled reports whether a run has made no progress for too long. Only answers of the
 // worker count: one that is cut off may still make progress.
 func (c *Cell) stalled(p *placement) bool {
-	return p.phase == phaseRunning && p.group != nil && p.worker.answeredAt.Sub(p.progressAt) > c.stallTimeout(p.group)
+	return p.phase == phaseRunning && !p.unlisted && p.group != nil && p.worker.answeredAt.Sub(p.progressAt) > c.stallTimeout(p.group)
 }
 
 // stallTimeout returns how long a run of a group may show no progress. Even a straggler
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -45,6 +45,7 @@
 	// sameNameAfterCrash means that a worker that a task has crashed keeps its name.
 	sameNameAfterCrash bool
 	expiredPermits     int // starts with a permit that was over
+	listedEnds         int // most ended runs that a worker lists at a time
 	// formerServices are the services that earlier configurations sent a queue to.
 	formerServices map[string][]string
 	// constraints gives random jobs limits, labels and services; nil for none.
@@ -499,7 +500,7 @@
 		r.SentAt, r.StatusOnly, r.Call = asked.SentAt, asked.StatusOnly, asked.Call
 		// A renewal is answered when a run ends, or after its wait. One with a cost in
 		// bytes is answered at once.
-		if len(r.Ended) > 0 || r.Verdict != Accepted || r.Call.Bytes > 0 {
+		if len(r.Ended.Entries()) > 0 || r.Verdict != Accepted || r.Call.Bytes > 0 {
 			deliver(r)
 			return
 		}
--- a/internal/cell/simlink_test.go
+++ b/internal/cell/simlink_test.go
@@ -77,7 +77,7 @@
 	}
 	s, bytes := l.n.s, answerBytes
 	if r, ok := answer.(Renewed); ok {
-		bytes += listedBytes * (len(r.Running) + len(r.Ended))
+		bytes += listedBytes * (len(r.Running) + len(r.Ended.Entries()))
 	}
 	s.after(occupy(&l.receiveIdleAt, s.now, l.transferTime(bytes)).Sub(s.now), func() {
 		s.after(occupy(&l.processorIdleAt, s.now, l.handlingTime).Sub(s.now), onHandled)
@@ -166,7 +166,7 @@
 func (w *simWorker) renewWithin(r Renew, sentAt model.Time, reply func(Event)) {
 	answer := w.renew(r)
 	answer.SentAt, answer.StatusOnly, answer.Call = sentAt, r.StatusOnly, r.Call
-	if answer.Verdict != Accepted || len(answer.Ended) > 0 || r.Wait == 0 {
+	if answer.Verdict != Accepted || len(answer.Ended.Entries()) > 0 || r.Wait == 0 {
 		reply(answer)
 		return
 	}
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -20,8 +21,9 @@
 	running              map[jobs.TaskRef]map[*simWorker]int // runs by worker
 	doneAcknowledged     map[jobs.TaskRef]bool               // a run's end as done was acknowledged
 	done                 map[jobs.TaskRef]bool               // a run has ended as done
-	failures             map[jobs.TaskRef]int                // runs that have failed
-	failuresAcknowledged map[jobs.TaskRef]int                // failures that were acknowledged
+	lastStart            map[jobs.TaskRef]model.Time
+	failures             map[jobs.TaskRef]int // runs that have failed
+	failuresAcknowledged map[jobs.TaskRef]int // failures that were acknowledged
 	cancelled            map[jobs.ID]model.Time
 	gangRuns             map[string]map[int]bool // present members of each gang run
 	crashes              map[jobs.TaskRef]int    // workers that crashed while they ran the task
@@ -31,7 +33,7 @@
 
 func newTruth() groundTruth {
 	return groundTruth{
-		running: map[jobs.TaskRef]map[*simWorker]int{}, doneAcknowledged: map[jobs.TaskRef]bool{}, done: map[jobs.TaskRef]bool{},
+		running: map[jobs.TaskRef]map[*simWorker]int{}, doneAcknowledged: map[jobs.TaskRef]bool{}, done: map[jobs.TaskRef]bool{}, lastStart: map[jobs.TaskRef]model.Time{},
 		failures: map[jobs.TaskRef]int{}, failuresAcknowledged: map[jobs.TaskRef]int{}, cancelled: map[jobs.ID]model.Time{}, gangRuns: map[string]map[int]bool{},
 		crashes: map[jobs.TaskRef]int{}, workersKilled: map[jobs.TaskRef]int{}, startsAfterThird: map[jobs.TaskRef]int{},
 	}
@@ -242,6 +244,9 @@
 		switch {
 		case e.Outcome == jobs.OutcomeDone && w.leaseExpiredAt < e.at:
 			w.s.truth.doneAcknowledged[e.Task] = true
+			if started := w.s.truth.lastStart[e.Task]; started > e.at {
+				w.s.fail("task ran twice: %v started %v after its run %d at %s was done, whose end was acknowledged later", e.Task, started.Sub(e.at), e.Run, w.name)
+			}
 		case e.Outcome == jobs.OutcomeFailed && w.leaseExpiredAt < e.at:
 			w.s.truth.failuresAcknowledged[e.Task]++
 		}
@@ -251,13 +256,15 @@
 
 // report adds the worker's runs and unacknowledged ends to an answer.
 func (w *simWorker) report(r Renewed) Renewed {
-	r.Boot, r.Clock, r.Running, r.Ended = w.boot, w.clock(), nil, nil
+	r.Boot, r.Clock, r.Running = w.boot, w.clock(), nil
 	for _, t := range w.tasks() {
 		r.Running = append(r.Running, RunStatus{Task: t, Run: w.runs[t].run, Percent: w.runs[t].percent(w.s.now)})
 	}
-	for _, e := range w.unacknowledged {
-		r.Ended = append(r.Ended, e.RunEnd)
+	ends := make([]RunEnd, 0, len(w.unacknowledged))
+	for _, e := range w.unacknowledged[:min(len(w.unacknowledged), w.s.listedEnds)] {
+		ends = append(ends, e.RunEnd)
 	}
+	r.Ended = listing.Page(ends, w.s.listedEnds)
 	return r
 }
 
@@ -405,6 +412,7 @@
 	if s.truth.doneAcknowledged[t] {
 		s.fail("task ran twice: %v run %d started at %s after the task was done", t, run, w.name)
 	}
+	s.truth.lastStart[t] = s.now
 	room := w.capacity
 	if s.now.Sub(w.resizedAt) < resizeNotice {
 		room = room.Max(w.capacityBefore)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -173,7 +173,8 @@
 	percentAtStart   int        // percent when the run was first listed, as of a resumed one
 	progressAt       model.Time // when percent last increased
 	checkpoint       string
-	unlistedRenewals int  // answers since its confirmation that did not list it
+	unlistedRenewals int  // complete answers since its confirmation that did not list it
+	unlisted         bool // the newest answer did not list it
 	began            bool // the worker has confirmed the run
 	crashCounted     bool // in the crash record of its task
 	watched          bool // of a suspected task, and has not proved harmless yet
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -201,7 +201,7 @@
 	}
 	w.clock, w.clockAt = e.Clock, c.now
 	w.epochAccepted = true
-	for _, end := range e.Ended {
+	for _, end := range e.Ended.Entries() {
 		if end.Seq > w.seenEndSeq {
 			w.seenEndSeq = end.Seq
 			c.runEnded(w, end)
@@ -220,7 +220,7 @@
 	}
 	var samples []stall.Sample
 	for _, p := range w.runs {
-		if p.phase == phaseRunning && p.confirmedAt != 0 && p.group != nil && !p.group.step.Gang && !p.group.step.LongRunning {
+		if p.phase == phaseRunning && p.confirmedAt != 0 && !p.unlisted && p.group != nil && !p.group.step.Gang && !p.group.step.LongRunning {
 			samples = append(samples, stall.Sample{
 				Elapsed: c.now.Sub(p.confirmedAt), Expected: c.estimate(p.group.job, p.group.step), Percent: p.percent - p.percentAtStart,
 			})
@@ -296,8 +296,9 @@
 		}
 	}
 	for _, p := range sortedPlacements(w) {
-		if listed[p.ref] || w.runs[p.ref] != p {
-			continue
+		p.unlisted = !listed[p.ref]
+		if listed[p.ref] || w.runs[p.ref] != p || !e.Ended.IsWhole() {
+			continue // a run in neither list may have ended if the worker has further ends
 		}
 		switch p.phase {
 		case phaseInherited:
--- a/internal/link/calls_test.go
+++ b/internal/link/calls_test.go
@@ -16,6 +16,7 @@
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/httpjson"
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -128,7 +129,7 @@
 	renewed := cell.Renewed{
 		Worker: "w", Verdict: cell.Accepted, Boot: 1700000000123, Clock: model.WorkerTime(482113 * time.Millisecond),
 		Running: []cell.RunStatus{{Task: newStart("j", 4).Task, Run: 2, Checkpoint: "x", Percent: 41}, {Task: newStart("j", 0).Task, Run: 1}},
-		Ended:   []cell.RunEnd{{Seq: 58, Task: newStart("k", 0).Task, Run: 1, Outcome: jobs.OutcomeDone, Checkpoint: "y"}},
+		Ended:   listing.Part(cell.RunEnd{Seq: 58, Task: newStart("k", 0).Task, Run: 1, Outcome: jobs.OutcomeDone, Checkpoint: "y"}),
 	}
 	follower.renew = func(_ context.Context, got cell.Renew) cell.Renewed {
 		is.Equal(got, r)
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 )
 
@@ -95,6 +96,8 @@
 	ClockNs int64        `json:"c,omitempty"` // worker's clock
 	Running []runStatus  `json:"r,omitempty"`
 	Ended   []runEnd     `json:"e,omitempty"`
+	// MoreEnds means that the worker may have ended runs beyond those in Ended.
+	MoreEnds bool `json:"m,omitempty"`
 }
 
 type runStatus struct {
@@ -117,7 +120,8 @@
 	for _, s := range r.Running {
 		reply.Running = append(reply.Running, runStatus{Task: taskRef{s.Task}, Run: s.Run, Checkpoint: s.Checkpoint, Percent: s.Percent})
 	}
-	for _, e := range r.Ended {
+	reply.MoreEnds = !r.Ended.IsWhole()
+	for _, e := range r.Ended.Entries() {
 		reply.Ended = append(reply.Ended, runEnd{Seq: e.Seq, Task: taskRef{e.Task}, Run: e.Run, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 	}
 	return reply
@@ -128,8 +132,12 @@
 	for _, s := range reply.Running {
 		r.Running = append(r.Running, cell.RunStatus{Task: s.Task.TaskRef, Run: s.Run, Checkpoint: s.Checkpoint, Percent: s.Percent})
 	}
+	ends := make([]cell.RunEnd, 0, len(reply.Ended))
 	for _, e := range reply.Ended {
-		r.Ended = append(r.Ended, cell.RunEnd{Seq: e.Seq, Task: e.Task.TaskRef, Run: e.Run, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
+		ends = append(ends, cell.RunEnd{Seq: e.Seq, Task: e.Task.TaskRef, Run: e.Run, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
+	}
+	if r.Ended = listing.Whole(ends...); reply.MoreEnds {
+		r.Ended = listing.Part(ends...)
 	}
 	return r
 }
