Cell: a task of a wide step or gang costs the same in a large job

Callers' requests would wait for seconds beside a gang of 20,000 tasks, and a step of 20,000 tasks took a millisecond of the owner for each task.

Cause: all tasks of a step were looked at for one of them: for each placed task whether a chosen worker has a foreign run of its step, for each end of a gang's member what is to stop or done, for each candidate which workers to avoid, and for each checkpoint of a gang. fit.Place compared all candidates for each task.

A worker counts its foreign runs, and only those with some are searched. A gang's run is stopped once, its checkpoint is kept once, and its end as done counts once. A group counts the workers at which tasks failed. fit.Place fills the best worker before it compares again, which chooses the same.

TestLargeJobsAreVisitedInProportion failed for gang, one step and tasks that last with the former loop put back.

--- a/internal/cell/occurrences.go
+++ b/internal/cell/occurrences.go
@@ -74,7 +74,7 @@
 func (c *Cell) countFinished(j *job) {
 	j.finishedGroups = 0
 	for _, g := range j.groups {
-		c.visitedGroups++
+		c.visited++
 		g.unfinishedBefore = 0
 		for _, a := range g.step.After {
 			if !j.group(g.occurrence, a).finished() {
@@ -91,7 +91,7 @@
 func (c *Cell) groupFinished(g *group) {
 	g.job.finishedGroups++
 	for _, next := range g.job.graph.successors[g.stepIndex] {
-		c.visitedGroups++
+		c.visited++
 		after := g.job.group(g.occurrence, next)
 		after.unfinishedBefore--
 		c.enqueueIfReady(after)
@@ -165,7 +165,7 @@
 		}
 		j.occurrences[k].due = true
 		for _, g := range j.groupsOf(k) {
-			c.visitedGroups++
+			c.visited++
 			c.enqueueIfReady(g)
 		}
 	}
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -325,11 +325,12 @@
 				continue
 			}
 		}
-		if t.run == 0 && t.checkpoint == "" {
+		checkpoint := g.checkpointOf(i)
+		if t.run == 0 && checkpoint == "" {
 			continue // also has no crash record
 		}
 		touched = true
-		tp := jobs.TaskProgress{Index: i, Run: t.run, Failures: t.failures, FailedRun: t.lastFailedRun, Checkpoint: t.checkpoint}
+		tp := jobs.TaskProgress{Index: i, Run: t.run, Failures: t.failures, FailedRun: t.lastFailedRun, Checkpoint: checkpoint}
 		if t.placement != nil {
 			tp.Worker = t.placement.worker.info.Name
 		}
--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -60,7 +60,6 @@
 		c.dropUnsent(p, "permit expired")
 		return
 	}
-	t := &g.tasks[p.ref.Index]
 	p.phase, p.sentAt = phaseStarting, c.now
 	call := Call{SentAt: c.now, Bytes: p.startBytes}
 	c.pacer.StartSent(c.queueOf(g.job).Priority, p.startBytes)
@@ -70,7 +69,7 @@
 	c.log("start sent", j.id, sent.withStepTasks(g, w))
 	c.emit(Start{
 		Worker: w.info.Name, Address: w.info.Address, Epoch: c.epoch, Task: p.ref, Run: p.run,
-		Payload: j.payload, LeaseUntil: c.grantLease(w), Checkpoint: t.checkpoint, Permit: perm.token, Timeout: c.pacer.Timeout(callTimeout), Call: call,
+		Payload: j.payload, LeaseUntil: c.grantLease(w), Checkpoint: g.checkpointOf(p.ref.Index), Permit: perm.token, Timeout: c.pacer.Timeout(callTimeout), Call: call,
 	})
 }
 
@@ -288,7 +287,11 @@
 		c.completeTask(g, index)
 		return
 	}
+	if g.finished() {
+		return // by the end of another member
+	}
 	for i := range g.tasks {
+		c.visited++
 		c.completeTask(g, i)
 	}
 }
@@ -296,11 +299,24 @@
 // stopGang stops the remaining members of a gang's run, since they only work together.
 // They are placed again when all of them are over.
 func (c *Cell) stopGang(g *group, run int, reason string) {
+	if run == g.stoppedRun {
+		return
+	}
+	inherited := false
 	for i := range g.tasks {
-		if p := g.tasks[i].placement; p != nil && p.run == run && p.phase != phaseInherited {
+		c.visited++
+		p := g.tasks[i].placement
+		switch {
+		case p == nil || p.run != run:
+		case p.phase == phaseInherited:
+			inherited = true // stopped at the next end of a member
+		default:
 			c.stop(p, reason)
 		}
 	}
+	if !inherited {
+		g.stoppedRun = run
+	}
 }
 
 // runLost handles a run that is over although its worker listed no end of it.
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -296,10 +296,19 @@
 // hasForeignRun reports whether a chosen worker still has a run of one of the group's
 // tasks that this owner did not place.
 func (c *Cell) hasForeignRun(g *group, chosen []int, candidates []fit.Candidate, workers []*worker) bool {
+	checked := -1
 	for _, at := range chosen {
-		for i := range g.tasks {
-			p := workers[candidates[at].Index].runs[g.ref(i)]
-			if p != nil && g.tasks[i].placement != p {
+		if at == checked {
+			continue
+		}
+		checked = at
+		w := workers[candidates[at].Index]
+		if w.foreignRuns == 0 {
+			continue
+		}
+		for ref, p := range w.runs {
+			c.visited++
+			if p.group == nil && g.holds(ref) {
 				return true
 			}
 		}
@@ -307,6 +316,11 @@
 	return false
 }
 
+// holds reports whether a task belongs to a group.
+func (g *group) holds(t jobs.TaskRef) bool {
+	return t.Job == g.job.id && t.Step == g.stepIndex && t.Occurrence == g.occurrence
+}
+
 // nextRun returns a run number above all that the group's members have used.
 func (g *group) nextRun() int {
 	run := g.run
@@ -423,13 +437,8 @@
 const avoidPenalty = 20000
 
 func (c *Cell) penalty(g *group, w *worker) int64 {
-	if !g.hasFailed {
-		return 0
-	}
-	for i := range g.tasks {
-		if g.tasks[i].avoidWorker == w.info.Name {
-			return avoidPenalty
-		}
+	if g.avoided[w.info.Name] > 0 {
+		return avoidPenalty
 	}
 	return 0
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -57,8 +57,8 @@
 	stepIndex  int
 	step       *jobs.Step
 	tasks      []task
-	hasFailed  bool // a task has failed, so that some workers are to be avoided
-	hasCrashed bool // a task has a crash record
+	avoided    map[model.WorkerName]int // workers at which tasks failed last, with their numbers
+	hasCrashed bool                     // a task has a crash record
 	// unfinishedBefore is the number of steps that it waits for; one that is named twice
 	// counts twice.
 	unfinishedBefore int
@@ -75,6 +75,8 @@
 	run              int
 	failures         int
 	lastFailedRun    int
+	checkpoint       string
+	stoppedRun       int // newest run of which all members were stopped
 	activePlacements int // placements that are not over
 
 	permits         []permit      // ordered by worker index; empty until the first answer
@@ -199,11 +201,12 @@
 	used model.Resources
 	// claimed is the CPU that groups will probably use once their eligibility calls are
 	// answered, in thousandths of a core.
-	claimed int64
-	counted bool           // in maxFree and in the room for urgent tasks
-	room    *headroom.Site // of its service; see roomOf
-	roomFor string         // service that room is of
-	runs    map[jobs.TaskRef]*placement
+	claimed     int64
+	counted     bool           // in maxFree and in the room for urgent tasks
+	room        *headroom.Site // of its service; see roomOf
+	roomFor     string         // service that room is of
+	runs        map[jobs.TaskRef]*placement
+	foreignRuns int // runs that this owner did not place
 
 	seenEndSeq     int64 // newest ended run that was handled
 	storedEndSeq   int64 // newest ended run that is in the store
@@ -366,9 +369,9 @@
 	instanceList []*instance
 	statsByQueue map[string]*queueStats
 	dueJobs      dueHeap // jobs with occurrences that wait for their scheduled time
-	// visitedGroups counts the groups that were looked at to find those that may start. It
-	// stays in proportion to the work that is done.
-	visitedGroups int
+	// visited counts the groups, tasks and runs that were looked at for one of them. It stays
+	// in proportion to the work that is done.
+	visited int
 }
 
 // pendingAppend is the content of an append in flight.
--- a/internal/cell/steplimits.go
+++ b/internal/cell/steplimits.go
@@ -66,7 +66,7 @@
 func (w *worker) stepTasks(g *group) int {
 	n := 0
 	for ref := range w.runs {
-		if ref.Job == g.job.id && ref.Step == g.stepIndex && ref.Occurrence == g.occurrence {
+		if g.holds(ref) {
 			n++
 		}
 	}
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -352,6 +352,7 @@
 			}
 		}
 		w.runs[p.ref] = p
+		w.foreignRuns++
 		w.used = w.used.Add(p.need)
 	}
 	p.run, p.phase, p.confirmedAt = r.Run, phaseRunning, c.now
--- a/internal/policy/fit/fit.go
+++ b/internal/policy/fit/fit.go
@@ -80,8 +80,11 @@
 		if best < 0 {
 			break
 		}
-		assign(d, &candidates[best])
-		out = append(out, best)
+		// The best one has less free CPU from now on, so it stays the best while tasks fit.
+		for len(out) < n && fits(d, &candidates[best]) {
+			assign(d, &candidates[best])
+			out = append(out, best)
+		}
 	}
 	return out
 }
