Cell: room for urgent work keeps no task off every worker

Cause: if all waiting tasks of a step together would leave the site too few places for urgent tasks, each of them has to leave room on its worker. A task of more than that below the size of a worker then fits nowhere, and since nothing is placed, the number that waits never falls. Only gangs were exempt.

One rule for both: the room is not asked for where no worker that suits the step has it beside one task, or beside the tasks of a gang that has waited, even without other work. The look at all workers is taken only for tasks that don't fit beside it on the smallest worker, once a second.

--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/model"
@@ -40,10 +41,12 @@
 		r.Reset()
 	}
 	c.maxFree, c.lostProbations, c.answeringWorkers = model.Resources{}, 0, 0
+	c.smallestWorker = math.MaxInt64
 	for _, w := range c.workerList {
 		w.counted = false
 		if w.registered && w.epochAccepted && w.failedRenewals == 0 {
 			c.answeringWorkers++
+			c.smallestWorker = min(c.smallestWorker, w.info.Capacity.MilliCPU)
 		}
 		switch {
 		case w.usable(c.now):
@@ -110,11 +113,14 @@
 	return cpu
 }
 
-// fitsOnlyWithoutHeadroom reports whether a gang that has waited finds no room beside the
-// given headroom even on a site without other work. It was accepted, and would wait for
-// ever.
+// fitsOnlyWithoutHeadroom reports whether a group finds no room beside the given headroom
+// even on a site without other work: no room for one task, or for a gang that has waited.
+// It was accepted, and would wait for ever.
 func (c *Cell) fitsOnlyWithoutHeadroom(g *group, cpu int64) bool {
-	if !g.step.Gang || c.now.Sub(g.readyAt) < reserveAfter {
+	switch {
+	case !g.step.Gang && taskDemand(g.step).MilliCPU+cpu <= c.smallestWorker:
+		return false // fits on each worker
+	case g.step.Gang && c.now.Sub(g.readyAt) < reserveAfter:
 		return false
 	}
 	if g.headroomCheckedAt != 0 && c.now.Sub(g.headroomCheckedAt) < headroomCheckInterval {
@@ -136,6 +142,10 @@
 		all += p * float64(g.count(without, w.info.Capacity))
 	}
 	g.headroomCheckedAt = c.now
-	g.onlyWithoutHeadroom = room < float64(g.pending) && all >= float64(g.pending)
+	if g.step.Gang {
+		g.onlyWithoutHeadroom = room < float64(g.pending) && all >= float64(g.pending)
+	} else {
+		g.onlyWithoutHeadroom = room == 0 && all > 0
+	}
 	return g.onlyWithoutHeadroom
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -88,7 +88,7 @@
 	callsWanted     int        // eligibility calls that the group waits to start together
 	rank            int64      // order among ready groups; the lowest is placed first
 	waitLoggedAt    model.Time // when a log line last told why it waits
-	// onlyWithoutHeadroom says that a gang finds no room beside that for urgent work, as of
+	// onlyWithoutHeadroom says that it finds no room beside that for urgent work, as of
 	// headroomCheckedAt.
 	onlyWithoutHeadroom bool
 	headroomCheckedAt   model.Time
@@ -321,6 +321,7 @@
 	countedAt         model.Time      // when the workers were last counted
 	renewedAt         model.Time      // when renewals were last looked for at all workers
 	maxFree           model.Resources // largest free amount of each resource at any usable worker
+	smallestWorker    int64           // CPU of the answering worker with the least, in thousandths of a core
 	fullSortNeeded    bool
 	rankedAt          model.Time
 	pacer             *pacing.Pacer
