Cell: tasks that last run again within the time allowed beside a full service

Cause: the rank of a group is by the time since its job was handed in. Tasks that last have no estimate and no end, so that soon after the submission their result counted as useless, and useless work goes last. Wide ones would also never find room beside small tasks.

Tasks that last rank by how long the first of them has waited: before all work that can wait, and before urgent work after 3 s. Workers are reserved for them like for gangs, as many as the limits of reservations allow.

--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -166,6 +166,9 @@
 		return
 	}
 	t.state = taskPending
+	if g.pending == 0 {
+		g.waitsSince = c.now
+	}
 	g.pending++
 	if checkpoint != "" {
 		g.saveCheckpoint(p.ref.Index, checkpoint)
--- a/internal/cell/occurrences.go
+++ b/internal/cell/occurrences.go
@@ -103,7 +103,7 @@
 	if g.readyAt != 0 || g.finished() || g.unfinishedBefore > 0 || !g.job.occurrences[g.occurrence].due {
 		return
 	}
-	g.readyAt = c.now
+	g.readyAt, g.waitsSince = c.now, c.now
 	c.enqueue(g)
 }
 
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -146,6 +146,11 @@
 // groupRank returns the inputs to the rank of a group.
 func (c *Cell) groupRank(g *group) rank.Input {
 	arrived := g.job.arrived
+	if g.step.LongRunning {
+		in := c.rankInput(g.job, g.waitsSince, 0, 0)
+		in.Lasting = true
+		return in
+	}
 	if due := g.job.schedule.DueMs(g.occurrence); due != 0 {
 		arrived = g.readyAt
 	}
@@ -246,38 +251,50 @@
 	c.markDirty(g.job)
 }
 
-// reserve keeps batch work that ranks lower from the workers with the most free CPU
-// that a waiting gang may use. Otherwise small tasks take each bit of capacity as it
-// becomes free, and a wide gang waits until the load peak is over.
+// reserve keeps batch work that ranks lower from the workers with the most free CPU that
+// waiting tasks may use: those of a gang, and tasks that last. Otherwise small tasks take
+// each bit of capacity as it becomes free, and wide tasks wait until the load peak is over.
 func (c *Cell) reserve(g *group, q *jobs.Queue, d fit.Demand) {
 	g.reserved = nil
-	if !g.step.Gang || q.Priority == 0 || c.reservations >= maxReservations || c.now.Sub(g.readyAt) < reserveAfter || d.Need.MilliCPU <= 0 {
+	if c.reservations >= maxReservations || d.Need.MilliCPU <= 0 {
+		return
+	}
+	switch {
+	case g.step.Gang && (q.Priority == 0 || c.now.Sub(g.readyAt) < reserveAfter):
+		return
+	case !g.step.Gang && (!g.step.LongRunning || c.now.Sub(g.waitsSince) < reserveAfter):
 		return
 	}
 	var pool []*worker
 	total := 0
 	for _, w := range c.workerList {
 		if (!q.Eligibility.Required() || g.eligibilityAt(w) == eligibleYes) && c.canRun(g, q, w) && c.reservedFor[w] == nil {
-			pool = append(pool, w)
-			total += g.count(d, w.info.Capacity)
+			if n := g.count(d, w.info.Capacity); n > 0 {
+				pool = append(pool, w)
+				total += n
+			}
 		}
 	}
-	if total < g.pending {
+	if g.step.Gang && total < g.pending {
 		return
 	}
 	slices.SortStableFunc(pool, func(a, b *worker) int { return -cmp.Compare(a.free().MilliCPU, b.free().MilliCPU) })
+	most := max(minReserved, int(maxReservedShare*float64(len(c.workerList)))) - len(c.reservedFor)
 	capacity := 0
 	for i, w := range pool {
-		if len(c.reservedFor)+i+1 > max(minReserved, int(maxReservedShare*float64(len(c.workerList)))) {
-			return
-		}
-		if capacity += g.count(d, w.info.Capacity); capacity < g.pending {
-			continue
+		if i == most {
+			if g.step.Gang {
+				g.reserved = nil
+				return
+			}
+			break
 		}
 		g.reserved = pool[:i+1]
-		c.renewReservation(g)
-		return
+		if capacity += g.count(d, w.info.Capacity); capacity >= g.pending {
+			break
+		}
 	}
+	c.renewReservation(g)
 }
 
 // renewReservation reserves the workers of a gang's last attempt in this scheduling pass.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -65,6 +65,7 @@
 	pending          int // number of tasks that wait for a placement
 	doneCount        int
 	readyAt          model.Time // since when its tasks may start; zero before
+	waitsSince       model.Time // since when the first of its pending tasks has waited
 	// attemptedAt is when the last attempt to place tasks found no room; zero if it placed
 	// some, or if there are new permits.
 	attemptedAt model.Time
--- a/internal/policy/rank/rank.go
+++ b/internal/policy/rank/rank.go
@@ -4,7 +4,8 @@
 // wide batch work compete for the same workers, so that the order decides which of them
 // is in time. Work that can still be in time goes first, urgent queues before the
 // others, and then by least slack. Work that is already late goes last, since it misses
-// its objective in any case.
+// its objective in any case. Tasks that last and have none of their runs are missed by
+// their users all the time, so they go before all work that can wait.
 package rank
 
 import (
@@ -23,6 +24,10 @@
 	Remaining     time.Duration
 	Stretch       float64
 	LatencyTarget time.Duration
+	// Lasting says that the tasks run until their job is cancelled: no time makes them
+	// useless, and they have no critical path. Arrived is when the first of them began to
+	// wait.
+	Lasting bool
 }
 
 // UselessFactor times the objective is the time after which a result is useless.
@@ -31,6 +36,7 @@
 // Urgency classes. A lower one goes first.
 const (
 	classUrgent = iota
+	classLasting
 	classInTime
 	classUrgentLate
 	classLate
@@ -41,6 +47,10 @@
 // nanoseconds.
 const classWidth = int64(1) << 59
 
+// maxLastingWait is how long tasks that last wait behind urgent work. They have to run again
+// within 9 s of their loss, and workers need some seconds until there is room.
+const maxLastingWait = 3 * time.Second
+
 // maxObjective bounds objectives, so that sums of them and of times do not overflow.
 const maxObjective = 20 * 365 * 24 * time.Hour
 
@@ -57,7 +67,14 @@
 	objective := in.Objective()
 	latestStart := in.Arrived.Add(objective - in.Remaining)
 	class := classInTime
+	if in.Lasting {
+		latestStart = in.Arrived
+	}
 	switch {
+	case in.Lasting && now.Sub(in.Arrived) <= maxLastingWait:
+		class = classLasting
+	case in.Lasting:
+		class = classUrgent
 	case now > in.Arrived.Add(UselessFactor*objective-in.Remaining):
 		class = classUseless
 	case now > latestStart && in.Urgent:
--- a/internal/policy/rank/rank_test.go
+++ b/internal/policy/rank/rank_test.go
@@ -77,3 +77,18 @@
 	is.True(fifoLate > 50)
 	is.Equal(rankedLate, 0)
 }
+
+// Guards against taking tasks that last for useless because of the time since their job was
+// handed in: they go before all work that can wait, and before urgent work in the end.
+func TestTasksThatLastGoBeforeWorkThatCanWait(t *testing.T) {
+	is := is.New(t)
+	now := model.Time(1000 * time.Second)
+	lasting := func(waited time.Duration) int64 {
+		return Key(now, Input{Priority: 2, Lasting: true, Arrived: now.Add(-waited), LatencyTarget: time.Second})
+	}
+	inTime, urgentInTime := Key(now, batch(time.Duration(now))), Key(now, urgent(time.Duration(now)))
+	is.True(lasting(0) < inTime && lasting(time.Hour) < inTime)
+	is.True(urgentInTime < lasting(maxLastingWait))
+	is.True(lasting(maxLastingWait+1) < urgentInTime)
+	is.True(!Useless(lasting(time.Hour)))
+}
