Cell: tasks that last are not given up after crashes of their workers

Cause: a task under which workers crash is given up after two crashes that no other job's task can be to blame for, or five losses in all. Tasks that last were not exempt. They still start alone or watched after a crash, and have no last chances for which they would wait for a worker of their own without end.

TestTasksThatLastAreNotGivenUpAfterCrashes and TestTaskThatIsNeverGivenUpDoesNotWaitForEver; the first failed before ("failed" for "running") with the condition taken out.

--- a/internal/cell/crashes.go
+++ b/internal/cell/crashes.go
@@ -223,8 +223,10 @@
 	w.lapsed = nil
 }
 
+// giveUpIfToBlame fails the job of a task that crashes its workers. Tasks that last run until
+// their job is cancelled, however they end.
 func (c *Cell) giveUpIfToBlame(p *placement) {
-	if g := p.group; !g.job.state.Final() && blame.GiveUp(p.crashRecord()) {
+	if g := p.group; !g.job.state.Final() && !g.step.LongRunning && blame.GiveUp(p.crashRecord()) {
 		c.count("tasks_given_up_total", g.job.queue)
 		c.finish(g.job, jobs.Failed, "a task crashes its workers")
 	}
@@ -235,11 +237,13 @@
 func (c *Cell) sinceCrash() time.Duration { return c.now.Sub(max(c.lastCrashAt, c.ownerSince)) }
 
 // startMode returns how a task is to be started after workers have crashed under it.
-func (c *Cell) startMode(t *task) blame.Mode {
+func (c *Cell) startMode(g *group, t *task) blame.Mode {
 	if t.crash == nil {
 		return blame.Normal
 	}
-	return blame.ModeOf(t.crash, c.sinceCrash(), c.now.Sub(t.waitsSince), c.mayStartAlone())
+	return blame.ModeOf(t.crash, blame.Circumstances{
+		SinceCrash: c.sinceCrash(), Waited: c.now.Sub(t.waitsSince), MayStartAlone: c.mayStartAlone(), NeverGivenUp: g.step.LongRunning,
+	})
 }
 
 func (c *Cell) mayStartAlone() bool {
@@ -257,7 +261,7 @@
 		if t.state != taskPending {
 			continue
 		}
-		m := c.startMode(t)
+		m := c.startMode(g, t)
 		if m == blame.Normal {
 			continue
 		}
@@ -347,7 +351,7 @@
 	mode := blame.Normal
 	if g.step.Gang && g.hasCrashed {
 		for i := range g.tasks {
-			mode = max(mode, c.startMode(&g.tasks[i]))
+			mode = max(mode, c.startMode(g, &g.tasks[i]))
 		}
 	}
 	return mode
--- a/internal/cell/lasting_test.go
+++ b/internal/cell/lasting_test.go
@@ -132,3 +132,28 @@
 		})
 	}
 }
+
+// Guards against giving up tasks that last because their worker has crashed several times
+// under them: they run until their job is cancelled, however they end.
+func TestTasksThatLastAreNotGivenUpAfterCrashes(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(10) {
+		s := newSim(seed, 3, 8)
+		s.run(3 * time.Second)
+		const id, tasks = "00000000000000aa", 3
+		s.storeJob(id, "batch", jobs.Step{Tasks: tasks, Resources: cores(2), EstimateMs: 3_600_000, LongRunning: true})
+		for range 7 {
+			s.run(3 * time.Second)
+			s.busiest(id).crash(time.Second)
+			s.run(time.Second)
+		}
+		s.run(maxAway)
+		is.Equal(s.state(id), jobs.Running)
+		running := 0
+		for i := range tasks {
+			running += len(s.truth.running[jobs.TaskRef{Job: id, Index: i}])
+		}
+		is.Equal(running, tasks)
+		is.Equal(s.violations, nil)
+	}
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -240,7 +240,7 @@
 	}
 	next := 0
 	for _, at := range chosen {
-		for g.tasks[next].state != taskPending || !g.step.Gang && c.startMode(&g.tasks[next]) != blame.Normal {
+		for g.tasks[next].state != taskPending || !g.step.Gang && c.startMode(g, &g.tasks[next]) != blame.Normal {
 			next++
 		}
 		c.place(g, next, workers[candidates[at].Index], run)
--- a/internal/policy/blame/blame.go
+++ b/internal/policy/blame/blame.go
@@ -124,20 +124,29 @@
 	Alone
 )
 
-// ModeOf returns how a task is to be started. Alone says whether a further worker may be
-// kept for it. A suspected task is started alone, or watched if it has waited for that for
-// too long. So is a task under which several workers have crashed, as long as workers crash:
-// it shows whether the task crashes its workers late in its runs, and protects it if it does
-// not. Near the number of losses after which it is
-// given up in any case, it is only started alone, also after a quiet time, which there may
-// be because just the tasks wait that crash their workers.
-func ModeOf(r *jobs.CrashRecord, sinceCrash, waited time.Duration, alone bool) Mode {
-	lastChances := r.Crashes+r.Presumed >= maxLosses-2
-	doubtful := r.Suspect || r.Crashes >= giveUpCrashes && sinceCrash < quietPeriod
+// Circumstances are what the mode of a task depends on beside its crash record.
+type Circumstances struct {
+	SinceCrash time.Duration // since a worker crashed because of a task
+	Waited     time.Duration // since the task was lost
+	// MayStartAlone says that a further worker may be kept for the task.
+	MayStartAlone bool
+	// NeverGivenUp says that the task is started again however often it is lost.
+	NeverGivenUp bool
+}
+
+// ModeOf returns how a task is to be started. A suspected task is started alone, or watched
+// if it has waited for that for too long. So is a task under which several workers have
+// crashed, as long as workers crash: it shows whether the task crashes its workers late in
+// its runs, and protects it if it does not. Near the number of losses after which it is given
+// up in any case, it is only started alone, also after a quiet time, which there may be
+// because just the tasks wait that crash their workers.
+func ModeOf(r *jobs.CrashRecord, c Circumstances) Mode {
+	lastChances := r.Crashes+r.Presumed >= maxLosses-2 && !c.NeverGivenUp
+	doubtful := r.Suspect || r.Crashes >= giveUpCrashes && c.SinceCrash < quietPeriod
 	switch {
-	case alone && (doubtful || lastChances):
+	case c.MayStartAlone && (doubtful || lastChances):
 		return Alone
-	case doubtful && waited < maxAloneWait, lastChances:
+	case doubtful && c.Waited < maxAloneWait, lastChances:
 		return Wait
 	case doubtful:
 		return Watched
--- a/internal/policy/blame/blame_test.go
+++ b/internal/policy/blame/blame_test.go
@@ -98,15 +98,29 @@
 	_, whole = Probation(&jobs.CrashRecord{Crashes: 2}, time.Minute)
 	is.True(!whole)
 	often, suspect := &jobs.CrashRecord{Crashes: 2}, &jobs.CrashRecord{Crashes: 1, Suspect: true}
-	is.Equal(ModeOf(often, time.Second, 0, true), Alone)
-	is.Equal(ModeOf(often, time.Second, 0, false), Wait)               // beside others, it would crash them again
-	is.Equal(ModeOf(often, time.Second, maxAloneWait, false), Watched) // it does not wait for ever
-	is.Equal(ModeOf(often, time.Minute, 0, false), Normal)
-	is.Equal(ModeOf(often, time.Minute, 0, true), Normal)                                  // nothing crashes any more
-	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Second, time.Minute, false), Wait) // not given up for others
-	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Minute, time.Minute, false), Wait)
-	is.Equal(ModeOf(&jobs.CrashRecord{Crashes: 3}, time.Minute, time.Minute, true), Alone)
-	is.Equal(ModeOf(suspect, time.Minute, 0, true), Alone)
-	is.Equal(ModeOf(suspect, 0, 0, false), Wait)
-	is.Equal(ModeOf(suspect, 0, maxAloneWait, false), Watched) // it does not wait for ever
+	is.Equal(modeOf(often, time.Second, 0, true), Alone)
+	is.Equal(modeOf(often, time.Second, 0, false), Wait)               // beside others, it would crash them again
+	is.Equal(modeOf(often, time.Second, maxAloneWait, false), Watched) // it does not wait for ever
+	is.Equal(modeOf(often, time.Minute, 0, false), Normal)
+	is.Equal(modeOf(often, time.Minute, 0, true), Normal)                                  // nothing crashes any more
+	is.Equal(modeOf(&jobs.CrashRecord{Crashes: 3}, time.Second, time.Minute, false), Wait) // not given up for others
+	is.Equal(modeOf(&jobs.CrashRecord{Crashes: 3}, time.Minute, time.Minute, false), Wait)
+	is.Equal(modeOf(&jobs.CrashRecord{Crashes: 3}, time.Minute, time.Minute, true), Alone)
+	is.Equal(modeOf(suspect, time.Minute, 0, true), Alone)
+	is.Equal(modeOf(suspect, 0, 0, false), Wait)
+	is.Equal(modeOf(suspect, 0, maxAloneWait, false), Watched) // it does not wait for ever
+}
+
+func modeOf(r *jobs.CrashRecord, sinceCrash, waited time.Duration, alone bool) Mode {
+	return ModeOf(r, Circumstances{SinceCrash: sinceCrash, Waited: waited, MayStartAlone: alone})
+}
+
+// Guards against a task that lasts and waits for ever for a worker of its own: it is never given
+// up, so that it has no last chances.
+func TestTaskThatIsNeverGivenUpDoesNotWaitForEver(t *testing.T) {
+	is := is.New(t)
+	often := &jobs.CrashRecord{Crashes: 9, Presumed: 3}
+	is.Equal(ModeOf(often, Circumstances{SinceCrash: time.Minute, NeverGivenUp: true}), Normal)
+	is.Equal(ModeOf(often, Circumstances{Waited: maxAloneWait, NeverGivenUp: true}), Watched)
+	is.Equal(ModeOf(often, Circumstances{MayStartAlone: true, NeverGivenUp: true}), Alone)
 }
