Cell: the progress of a job is stored in parts that fit into records

Cause: the progress of a job is one record. The compact encoding can't hold crash records, so that the progress is JSON then, 300 KB, above the largest record of the store. The store refuses the append for good, and the owner repeats it with the changes of all other jobs. Checkpoints of 20,000 tasks would do the same, and so would an append of more than 2 MiB: several large jobs, or many large submissions at once.

The progress of each 400 tasks is a record of its own; jobs with fewer tasks are stored as before. Only parts that changed are written. Above 1 MiB further changes wait for the next append: placements until their part is stored, and acknowledgements of ended runs until all parts are that had changed when they were listed. The end of a job is stored before parts of it are removed. Progress that an earlier build stored as one record is divided by the next owner.

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -34,8 +34,7 @@
 	c.jobAdded(e.Job, ProgressStream)
 	j = c.jobs[e.Job.ID]
 	j.unstored, j.submitRequests = true, []uint64{e.RequestID}
-	c.newJobs = append(c.newJobs, j)
-	c.requestEntries = append(c.requestEntries, Entry{Key: jobs.JobKey(j.id), Value: e.Value})
+	c.requests = append(c.requests, request{entry: Entry{Key: jobs.JobKey(j.id), Value: e.Value}, newJob: j})
 }
 
 // backlog returns the waiting starts, and which of them are ahead of a new job.
@@ -75,13 +74,13 @@
 		c.emit(RequestAnswered{RequestID: e.RequestID, Stored: true})
 		return
 	}
+	r := request{entry: Entry{Key: jobs.CancelKey(e.ID), Value: []byte("{}")}, cancelID: e.RequestID}
 	if !j.cancelled {
 		// The runs are stopped when the store has the cancellation: until then it
 		// can still be refused.
-		c.cancelledJobs = append(c.cancelledJobs, j)
+		r.cancelled = j
 	}
-	c.cancelRequests = append(c.cancelRequests, e.RequestID)
-	c.requestEntries = append(c.requestEntries, Entry{Key: jobs.CancelKey(e.ID), Value: []byte("{}")})
+	c.requests = append(c.requests, r)
 }
 
 func (c *Cell) acceptsRequests() bool {
@@ -101,17 +100,22 @@
 // refuseDelayedRequests refuses the requests that wait behind an append without an
 // answer.
 func (c *Cell) refuseDelayedRequests() {
-	if len(c.requestEntries) == 0 || c.storeResponsive() {
+	if len(c.requests) == 0 || c.storeResponsive() {
 		return
 	}
-	c.log("waiting requests refused", "", Fields{Count: len(c.requestEntries), Age: c.now.Sub(c.inFlight.sentAt), Reason: "the store does not answer"})
-	c.refuseRequests(c.newJobs, c.cancelRequests)
-	c.cancelRequests, c.newJobs, c.requestEntries, c.cancelledJobs = nil, nil, nil, nil
+	c.log("waiting requests refused", "", Fields{Count: len(c.requests), Age: c.now.Sub(c.inFlight.sentAt), Reason: "the store does not answer"})
+	c.refuseRequests(c.requests)
+	c.requests = nil
 }
 
 // refuseRequests refuses requests that are certainly in no stream, and drops their jobs.
-func (c *Cell) refuseRequests(added []*job, cancelRequests []uint64) {
-	for _, j := range added {
+func (c *Cell) refuseRequests(refused []request) {
+	for _, r := range refused {
+		j := r.newJob
+		if j == nil {
+			c.emit(RequestAnswered{RequestID: r.cancelID})
+			continue
+		}
 		for _, t := range j.submitRequests {
 			// The instance that received it may have stored it directly in the meantime.
 			c.emit(RequestAnswered{RequestID: t, Stored: !j.unstored})
@@ -121,9 +125,6 @@
 			c.dropUnstored(j)
 		}
 	}
-	for _, t := range cancelRequests {
-		c.emit(RequestAnswered{RequestID: t})
-	}
 }
 
 // dropUnstored removes a job that no stream has. None of its tasks was started.
@@ -144,27 +145,29 @@
 	delete(c.jobs, j.id)
 }
 
-// moveRequestsTo moves the waiting requests into an append.
-func (c *Cell) moveRequestsTo(in *pendingAppend) []Entry {
-	in.cancelRequests, in.newJobs, in.cancelledJobs = c.cancelRequests, c.newJobs, c.cancelledJobs
-	out := c.requestEntries
-	c.cancelRequests, c.newJobs, c.requestEntries, c.cancelledJobs = nil, nil, nil, nil
-	return out
-}
-
 // confirmRequests answers the requests of an append that is in the store.
 func (c *Cell) confirmRequests(in *pendingAppend) {
-	for _, j := range in.newJobs {
-		for _, t := range j.submitRequests {
-			c.emit(RequestAnswered{RequestID: t, Stored: true})
+	for _, r := range in.requests {
+		if r.cancelled != nil {
+			c.jobCancelled(r.cancelled.id, ProgressStream)
+		}
+		c.answerRequest(r, RequestAnswered{Stored: true})
+		if j := r.newJob; j != nil {
+			j.unstored, j.submitRequests = false, nil
 		}
-		j.unstored, j.submitRequests = false, nil
 	}
-	for _, j := range in.cancelledJobs {
-		c.jobCancelled(j.id, ProgressStream)
+}
+
+// answerRequest answers the callers of a request.
+func (c *Cell) answerRequest(r request, a RequestAnswered) {
+	if r.newJob == nil {
+		a.RequestID = r.cancelID
+		c.emit(a)
+		return
 	}
-	for _, t := range in.cancelRequests {
-		c.emit(RequestAnswered{RequestID: t, Stored: true})
+	for _, t := range r.newJob.submitRequests {
+		a.RequestID = t
+		c.emit(a)
 	}
 }
 
@@ -172,21 +175,11 @@
 // append in flight are in doubt.
 func (c *Cell) abandonRequests() {
 	if in := c.inFlight; in != nil {
-		for _, j := range in.newJobs {
-			for _, t := range j.submitRequests {
-				c.emit(RequestAnswered{RequestID: t, InDoubt: true})
-			}
-		}
-		for _, t := range in.cancelRequests {
-			c.emit(RequestAnswered{RequestID: t, InDoubt: true})
-		}
-	}
-	for _, j := range c.newJobs {
-		for _, t := range j.submitRequests {
-			c.emit(RequestAnswered{RequestID: t})
+		for _, r := range in.requests {
+			c.answerRequest(r, RequestAnswered{InDoubt: true})
 		}
 	}
-	for _, t := range c.cancelRequests {
-		c.emit(RequestAnswered{RequestID: t})
+	for _, r := range c.requests {
+		c.answerRequest(r, RequestAnswered{})
 	}
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -44,7 +44,7 @@
 	case JobExpired:
 		c.jobExpired(e.ID)
 	case ProgressRead:
-		c.progressRead(e.ID, &e.Progress)
+		c.progressRead(e.ID, e.Part, &e.Progress)
 	case ClaimRead:
 		c.claimRead(e.Claim)
 	case ProgressCaughtUp:
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -110,4 +110,8 @@
 	Bandwidth int64
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
+	// AppendBytes is the size of an append above which further changes wait for the next one,
+	// and TasksPerPart the number of tasks of a job whose progress is one record. Zero stands
+	// for the defaults.
+	AppendBytes, TasksPerPart int
 }
--- a/internal/cell/crashes.go
+++ b/internal/cell/crashes.go
@@ -175,7 +175,7 @@
 	default:
 		record.Presumed++
 	}
-	c.markDirty(p.group.job)
+	c.markTask(p.group, p.ref.Index)
 }
 
 func (c *Cell) suspect(p *placement, age time.Duration, certain bool) {
@@ -282,7 +282,6 @@
 	}
 	if placed > 0 {
 		candidates[at].TaskLimit = 0 // for the other tasks of the group
-		c.markDirty(g.job)
 	}
 	return pending, placed
 }
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -47,7 +47,8 @@
 // ProgressRead reports an entry of the progress stream, which was written by an owner.
 type ProgressRead struct {
 	ID       jobs.ID
-	Progress jobs.Progress
+	Part     int           // of the job's progress; see jobs.ProgressPartKey
+	Progress jobs.Progress // without groups for a part that was removed
 }
 
 // ClaimRead reports a claim that was read from the progress stream.
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -102,6 +102,13 @@
 	if seed%3 == 0 {
 		s.listedEnds = 1 + int(seed%4)
 	}
+	if seed%3 == 1 {
+		s.appendBytes, s.tasksPerPart = 200, 2
+		for _, n := range s.nodes {
+			n.kill()
+			n.start()
+		}
+	}
 	s.run(2 * time.Second)
 	const span = 20 * time.Second
 	for range 60 {
@@ -239,6 +246,7 @@
 
 // checkFinalStates checks that every job has ended and that its state matches its runs.
 func (s *sim) checkFinalStates() {
+	s.checkStoreOrder()
 	for id, j := range s.submitted {
 		v, known := s.nodes[0].cell.Job(id)
 		if !known {
@@ -335,3 +343,33 @@
 		})
 	}
 }
+
+// checkStoreOrder checks the order of the entries in the progress stream, since an owner may
+// end between any two appends: a part of a job's progress is removed after the job's end is
+// stored, and no progress is stored before the submission.
+func (s *sim) checkStoreOrder() {
+	ended, submitted := map[jobs.ID]bool{}, map[jobs.ID]bool{}
+	for _, e := range s.store.submissions {
+		if kind, id := jobs.ParseKey(e.Key); kind == jobs.KindJob {
+			submitted[id] = true
+		}
+	}
+	for _, e := range s.store.progress {
+		kind, id := jobs.ParseKey(e.Key)
+		switch part := jobs.ProgressPart(e.Key); {
+		case kind == jobs.KindJob:
+			submitted[id] = true
+		case kind != jobs.KindProgress:
+		case !submitted[id]:
+			s.fail("wrong order: progress of %s is stored before its submission", id)
+		case part == 0:
+			p, err := jobs.Decode[jobs.Progress](e.Key, e.Value)
+			if err != nil {
+				panic(err)
+			}
+			ended[id] = p.State.Final()
+		case len(e.Value) == 0 && !ended[id]:
+			s.fail("wrong order: part %d of %s is removed before its end is stored", part, id)
+		}
+	}
+}
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -13,20 +13,17 @@
 	}
 	if j.groups == nil {
 		j.graph, j.occurrences = newStepGraph(j.steps), make([]occurrence, j.schedule.OccurrenceCount())
+		first := 0
 		for k := range j.schedule.OccurrenceCount() {
 			for i := range j.steps {
 				g := &group{job: j, occurrence: k, stepIndex: i, step: &j.steps[i], tasks: make([]task, j.steps[i].Tasks)}
-				g.pending = len(g.tasks)
+				g.pending, g.firstTask = len(g.tasks), first
+				first += len(g.tasks)
 				j.groups = append(j.groups, g)
 			}
 		}
 	}
-	if p := j.unappliedProgress; p != nil {
-		j.unappliedProgress = nil
-		for i := range p.Groups {
-			c.applyGroup(j, &p.Groups[i])
-		}
-	}
+	c.applyProgress(j)
 	if j.state.Final() {
 		return // its remaining runs are stopped when their workers answer
 	}
@@ -43,22 +40,25 @@
 
 // applyGroup restores a group from what an earlier owner stored. A task that may be
 // running keeps a placement until its worker reports on it or the worker's lease
-// expires.
-func (c *Cell) applyGroup(j *job, p *jobs.GroupProgress) {
+// expires. It returns nil for a group that is not of the job.
+func (c *Cell) applyGroup(j *job, p *jobs.GroupProgress) *group {
 	g := j.group(p.Occurrence, p.Step)
 	if g == nil {
 		c.log("stored progress refers to an unknown group", j.id, Fields{Count: p.Step})
-		return
+		return nil
 	}
 	if err := p.Validate(); err != nil {
 		c.log("stored progress is invalid", j.id, Fields{Count: p.Step, Reason: err.Error()})
-		return
+		return nil
 	}
-	g.run, g.failures, g.lastFailedRun = p.Run, p.Failures, p.FailedRun
+	// The parts that hold a gang may be of different times.
+	g.run, g.failures, g.lastFailedRun = max(g.run, p.Run), max(g.failures, p.Failures), max(g.lastFailedRun, p.FailedRun)
 	for i := range g.tasks {
 		if p.Done.Has(i) && g.tasks[i].state != taskDone {
+			if g.tasks[i].state == taskPending {
+				g.pending--
+			}
 			g.tasks[i].state = taskDone
-			g.pending--
 			g.doneCount++
 		}
 	}
@@ -79,6 +79,7 @@
 			pl.checkpoint = t.Checkpoint
 		}
 	}
+	return g
 }
 
 func (j *job) group(occurrence, step int) *group {
@@ -147,7 +148,7 @@
 	if g := p.group; g != nil {
 		g.activePlacements--
 		if g.job.state.Final() && g.activePlacements == 0 {
-			c.markDirty(g.job)
+			c.markGroup(g)
 		}
 		if t := &g.tasks[p.ref.Index]; t.placement == p {
 			t.placement = nil
@@ -173,7 +174,10 @@
 	if checkpoint != "" {
 		g.saveCheckpoint(p.ref.Index, checkpoint)
 	}
-	c.markDirty(g.job)
+	c.markTask(g, p.ref.Index)
+	if g.step.Gang && checkpoint != "" {
+		c.markGroup(g)
+	}
 	if !g.job.cancelled {
 		c.enqueue(g)
 	}
@@ -215,7 +219,7 @@
 		g.permits, g.eligible = nil, nil
 		c.groupFinished(g)
 	}
-	c.markDirty(g.job)
+	c.markTask(g, index)
 	c.finishIfDone(g.job)
 }
 
@@ -240,7 +244,7 @@
 			}
 		}
 	}
-	c.markDirty(j)
+	c.markJob(j)
 }
 
 // cancelJob cancels a job and stops its runs.
@@ -250,13 +254,6 @@
 	}
 }
 
-func (c *Cell) markDirty(j *job) {
-	if !j.dirty {
-		j.dirty = true
-		c.dirtyJobs = append(c.dirtyJobs, j)
-	}
-}
-
 // avoid makes a worker the last choice for a group, in place of the one at which the task
 // failed before.
 func (g *group) avoid(index int, name model.WorkerName) {
@@ -292,7 +289,11 @@
 		failures = t.failures
 	}
 	g.avoid(index, w.info.Name)
-	c.markDirty(g.job)
+	if g.step.Gang {
+		c.markGroup(g)
+	} else {
+		c.markTask(g, index)
+	}
 	if maxAttempts := c.queueOf(g.job).MaxAttempts; !g.step.LongRunning && failures >= maxAttempts && !g.job.state.Final() {
 		c.finish(g.job, jobs.Failed, "attempts used up")
 	}
--- a/internal/cell/odd_entries_test.go
+++ b/internal/cell/odd_entries_test.go
@@ -34,7 +34,7 @@
 	is := is.New(t)
 	c := New(Config{Name: "cell", Self: "vm-1", MaxLease: simLease})
 	c.jobAdded(jobs.Job{ID: "j", Queue: "q", Steps: []jobs.Step{{Tasks: 2}}}, 0)
-	c.progressRead("j", &jobs.Progress{State: jobs.Queued, Groups: []jobs.GroupProgress{
+	c.progressRead("j", 0, &jobs.Progress{State: jobs.Queued, Groups: []jobs.GroupProgress{
 		{Tasks: []jobs.TaskProgress{{Index: 0, Run: math.MaxInt}, {Index: 1 << 40, Run: 1}}},
 		{Step: -1}, {Step: math.MaxInt, Occurrence: math.MaxInt},
 	}})
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/jobs"
@@ -120,145 +119,6 @@
 	c.emit(Reload{Reason: reason})
 }
 
-// appended handles the answer to an append. The placements that it stored may now be
-// started.
-func (c *Cell) appended(e Appended) {
-	in := c.inFlight
-	if in == nil || in.seq != e.Seq {
-		return
-	}
-	if e.Fenced {
-		c.stepDown("a newer claim is in the store")
-		return
-	}
-	c.inFlight = nil
-	if e.Refused {
-		c.restoreRefused(in)
-		return
-	}
-	c.appendRefused = false
-	c.appendLatency += (c.now.Sub(in.sentAt) - c.appendLatency) / appendSmoothing
-	c.confirmedOwnerAt = max(c.confirmedOwnerAt, e.SentAt)
-	c.observe("append_seconds", "", c.now.Sub(in.sentAt))
-	c.confirmRequests(in)
-	for _, s := range in.states {
-		s.job.storedState = s.state
-		if s.state.Final() {
-			c.emit(FinalStateStored{ID: s.job.id})
-		}
-		if s.state.Final() && !s.job.dirty && s.job.dropDetailsIfOver() && slices.Contains(s.job.partitions, ProgressStream) {
-			c.jobsToTrim = append(c.jobsToTrim, s.job)
-		}
-	}
-	for w, e := range in.ends {
-		// A restarted worker numbers its ended runs from 1 again.
-		if e.boot == w.boot {
-			w.storedEndSeq = max(w.storedEndSeq, e.seq)
-		}
-	}
-	if in.release {
-		c.role, c.ownerReady = roleFollower, false
-		c.latestClaim.Released = true
-		c.log("cell ownership released", "", Fields{Epoch: c.epoch})
-		c.emit(OwnershipChanged{Epoch: c.epoch})
-		c.emit(Reload{Reason: "released"})
-		return
-	}
-	c.storedPlacements = append(c.storedPlacements, in.placements...)
-}
-
-// restoreRefused moves the changes of a refused append into the next one. Requests are
-// refused instead, since they are certainly not stored.
-func (c *Cell) restoreRefused(in *pendingAppend) {
-	if !c.appendRefused {
-		c.log("store refused an append", "", Fields{Epoch: c.epoch, Age: c.now.Sub(c.confirmedOwnerAt)})
-	}
-	c.appendRefused = true
-	c.appendSeq--
-	c.refuseRequests(in.newJobs, in.cancelRequests)
-	for _, s := range in.states {
-		if c.jobs[s.job.id] == s.job {
-			c.markDirty(s.job)
-		}
-	}
-	c.plannedPlacements = append(in.placements, c.plannedPlacements...)
-	c.removedKeys = append(in.removedKeys, c.removedKeys...)
-	c.jobsToTrim = append(in.jobsToTrim, c.jobsToTrim...)
-	c.endsUnstored = true
-	if in.release {
-		c.releaseSent = false
-	}
-}
-
-// markStartedJobs includes the jobs in the next append whose first start was put off long
-// enough, unless an append has stored it in the meantime.
-func (c *Cell) markStartedJobs() {
-	for len(c.firstStarts) > 0 && c.now.Sub(c.firstStarts[0].at) >= firstStartDelay {
-		if j := c.firstStarts[0].job; j.storedState == jobs.Queued {
-			c.markDirty(j)
-		}
-		c.firstStarts = c.firstStarts[1:]
-	}
-}
-
-// flush appends all pending changes, or a heartbeat.
-func (c *Cell) flush() {
-	c.markStartedJobs()
-	if c.inFlight != nil {
-		c.refuseDelayedRequests()
-		return
-	}
-	if c.releaseSent || c.appendRefused && c.now.Sub(c.lastAppendAt) < appendRetryPause {
-		return
-	}
-	if c.now.Sub(c.lastAppendAt) < c.pacer.BatchDelay() {
-		return
-	}
-	heartbeatDue := c.now.Sub(c.lastAppendAt) >= heartbeatInterval
-	if len(c.dirtyJobs) == 0 && len(c.requestEntries) == 0 && len(c.plannedPlacements) == 0 && !c.endsUnstored && !heartbeatDue && !c.wantsRelease() {
-		return
-	}
-	c.appendSeq++
-	in := &pendingAppend{seq: c.appendSeq, sentAt: c.now, ends: map[*worker]endMark{}}
-	a := Append{Seq: c.appendSeq, Epoch: c.epoch, Entries: c.moveRequestsTo(in)}
-	for _, j := range c.dirtyJobs {
-		j.dirty = false
-		if c.jobs[j.id] != j {
-			continue // its submission was refused; the job may have been submitted again
-		}
-		p := j.snapshot()
-		in.states = append(in.states, jobState{job: j, state: j.state})
-		a.Entries = append(a.Entries, Entry{Key: jobs.ProgressKey(j.id), Value: jobs.Encode(p)})
-	}
-	for _, key := range c.removedKeys {
-		a.Entries = append(a.Entries, Entry{Key: key})
-	}
-	in.removedKeys, c.removedKeys = c.removedKeys, nil
-	for _, j := range c.jobsToTrim {
-		if c.jobs[j.id] == j {
-			a.Entries = append(a.Entries, Entry{Key: jobs.JobKey(j.id), Value: jobs.Encode(j.tombstone())})
-		}
-	}
-	in.jobsToTrim, c.jobsToTrim = c.jobsToTrim, nil
-	for _, w := range c.workerList {
-		if w.seenEndSeq > w.storedEndSeq {
-			in.ends[w] = endMark{boot: w.boot, seq: w.seenEndSeq}
-		}
-	}
-	in.placements = c.plannedPlacements
-	c.dirtyJobs, c.plannedPlacements, c.endsUnstored = nil, nil, false
-	if c.wantsRelease() {
-		in.release, c.releaseSent = true, true
-		released := c.latestClaim
-		released.Released = true
-		a.Entries = append(a.Entries, Entry{Key: jobs.KeyOwner, Value: jobs.Encode(released)})
-	} else if len(a.Entries) == 0 {
-		a.Entries = append(a.Entries, Entry{Key: jobs.KeyOwner, Value: jobs.Encode(c.latestClaim)})
-	}
-	c.inFlight, c.lastAppendAt = in, c.now
-	c.emit(a)
-}
-
 // wantsRelease reports whether the owner is to release the cell.
 func (c *Cell) wantsRelease() bool { return c.draining || c.yielding }
 
@@ -294,55 +154,12 @@
 	return n
 }
 
-// snapshot returns the stored form of a job's progress.
-func (j *job) snapshot() *jobs.Progress {
-	p := &jobs.Progress{State: j.state, FinishedMs: j.finishedMs}
-	for _, g := range j.groups {
-		if j.state.Final() && g.activePlacements == 0 {
-			continue
-		}
-		if gp := g.snapshot(); gp != nil {
-			p.Groups = append(p.Groups, *gp)
-		}
-	}
-	return p
-}
-
 // tombstone returns what is kept of the submission of a job that is finished and has no
 // runs left, so that instances that load the cell read little of finished jobs.
 func (j *job) tombstone() jobs.Job {
 	return jobs.Job{ID: j.id, Queue: j.queue, SubmittedMs: j.submittedMs}
 }
 
-func (g *group) snapshot() *jobs.GroupProgress {
-	gp := &jobs.GroupProgress{Occurrence: g.occurrence, Step: g.stepIndex, Run: g.run, Failures: g.failures, FailedRun: g.lastFailedRun}
-	touched := g.run > 0 || g.doneCount > 0
-	for i := range g.tasks {
-		t := &g.tasks[i]
-		if t.state == taskDone {
-			gp.Done.Set(i)
-			if t.placement == nil {
-				continue
-			}
-		}
-		checkpoint := g.checkpointOf(i)
-		if t.run == 0 && checkpoint == "" {
-			continue // also has no crash record
-		}
-		touched = true
-		tp := jobs.TaskProgress{Index: i, Run: t.run, Failures: t.failures, FailedRun: t.lastFailedRun, Checkpoint: checkpoint}
-		if t.placement != nil {
-			tp.Worker = t.placement.worker.info.Name
-		}
-		tp.Crash = t.crash
-		gp.Tasks = append(gp.Tasks, tp)
-	}
-	if !touched {
-		return nil
-	}
-	return gp
-}
-
 // removeExpired removes finished jobs after their retention.
 func (c *Cell) removeExpired() {
 	if c.now.Sub(c.lastExpiryAt) < expiryInterval {
@@ -350,7 +167,7 @@
 	}
 	c.lastExpiryAt = c.now
 	for _, j := range c.sortedJobs() {
-		if j.storedState.Final() && !j.dirty && j.finishedMs != 0 && c.unixMs-j.finishedMs > c.cfg.Retention.Milliseconds() {
+		if j.storedState.Final() && j.dirtyCount == 0 && j.finishedMs != 0 && c.unixMs-j.finishedMs > c.cfg.Retention.Milliseconds() {
 			c.removeJob(j)
 		}
 	}
@@ -359,7 +176,9 @@
 // removeJob removes a job and its entries. Those in the progress stream are removed by
 // the next append.
 func (c *Cell) removeJob(j *job) {
-	c.removedKeys = append(c.removedKeys, jobs.ProgressKey(j.id))
+	for part := range max(1, j.parts) {
+		c.removedKeys = append(c.removedKeys, jobs.ProgressPartKey(j.id, part))
+	}
 	c.removeKey(j.partitions, jobs.JobKey(j.id))
 	c.removeKey(j.cancelPartitions, jobs.CancelKey(j.id))
 	delete(c.jobs, j.id)
--- a/internal/cell/replay.go
+++ b/internal/cell/replay.go
@@ -19,7 +19,7 @@
 	j := &job{
 		id: s.ID, queue: s.Queue, payload: s.Payload, schedule: s.Schedule, steps: s.Steps,
 		submittedMs: s.SubmittedMs, arrived: c.now, state: jobs.Queued, storedState: jobs.Queued,
-		unappliedProgress: c.earlyProgress[s.ID], partitions: []int{partition}, dueIndex: notDelayed,
+		stored: c.earlyProgress[s.ID], partitions: []int{partition}, dueIndex: notDelayed, tasksPerPart: c.cfg.TasksPerPart,
 	}
 	if at, ok := c.earlyCancels[s.ID]; ok {
 		j.cancelled, j.cancelPartitions = true, at
@@ -27,9 +27,7 @@
 	delete(c.earlyProgress, s.ID)
 	delete(c.earlyCancels, s.ID)
 	c.jobs[s.ID] = j
-	if j.unappliedProgress != nil {
-		j.applyState(j.unappliedProgress)
-	}
+	j.applyState()
 	if !c.ownerReady {
 		return
 	}
@@ -72,33 +70,50 @@
 
 // progressRead handles an entry that an owner wrote. The owner itself ignores it, since
 // its own state is newer.
-func (c *Cell) progressRead(id jobs.ID, p *jobs.Progress) {
+func (c *Cell) progressRead(id jobs.ID, part int, p *jobs.Progress) {
 	c.ownerSeenAt = c.now
 	if c.role == roleOwner {
 		return
 	}
+	if part < 0 || part > jobs.MaxTasks/c.cfg.TasksPerPart {
+		c.log("stored progress refers to an unknown part", id, Fields{Count: part})
+		return
+	}
 	j := c.jobs[id]
 	if j == nil {
-		c.earlyProgress[id] = p
+		if c.earlyProgress[id] == nil {
+			c.earlyProgress[id] = storedProgress{}
+		}
+		c.earlyProgress[id].set(part, p)
 		return
 	}
-	j.unappliedProgress = p
-	j.applyState(p)
+	if j.stored == nil {
+		j.stored = storedProgress{}
+	}
+	j.stored.set(part, p)
+	j.applyState()
 }
 
 // applyState applies the state that callers see. The details are applied when the
 // instance becomes the owner.
-func (j *job) applyState(p *jobs.Progress) {
+func (j *job) applyState() {
+	for part := range j.stored {
+		j.parts = max(j.parts, part+1)
+	}
+	p := j.stored[0]
+	if p == nil {
+		return
+	}
 	j.state, j.storedState, j.finishedMs = p.State, p.State, p.FinishedMs
 	j.started = j.started || p.State != jobs.Queued
-	if p.State.Final() && len(p.Groups) == 0 {
+	if p.State.Final() && !j.stored.hasGroups() {
 		j.dropDetails()
 	}
 }
 
 // dropDetails drops the data that only an unfinished job needs.
 func (j *job) dropDetails() {
-	j.payload, j.steps, j.groups, j.graph, j.occurrences, j.unappliedProgress = "", nil, nil, nil, nil, nil
+	j.payload, j.steps, j.groups, j.graph, j.occurrences, j.stored = "", nil, nil, nil, nil, nil
 }
 
 // dropDetailsIfOver drops the details of a finished job unless it has runs left, which
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -237,6 +237,7 @@
 	if g.step.Gang {
 		run = g.nextRun()
 		g.run = run
+		c.markGroup(g)
 	}
 	next := 0
 	for _, at := range chosen {
@@ -248,7 +249,6 @@
 	if gangMode != blame.Normal {
 		c.watchGang(g, gangMode == blame.Alone)
 	}
-	c.markDirty(g.job)
 }
 
 // reserve keeps batch work that ranks lower from the workers with the most free CPU that
@@ -358,6 +358,7 @@
 	p.startBytes = startSize(len(g.job.payload))
 	c.pacer.StartPlanned(p.startBytes)
 	w.probeAllowed = false
+	c.markTask(g, index)
 	c.plannedPlacements = append(c.plannedPlacements, p)
 	c.observe("placement_wait_seconds", g.job.queue, c.now.Sub(g.readyAt))
 	placed := Fields{Task: p.ref, HasTask: true, Run: run, Worker: w.info.Name, Age: c.now.Sub(g.readyAt), Count: int(w.free().MilliCPU)}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -45,6 +45,9 @@
 	// sameNameAfterCrash means that a worker that a task has crashed keeps its name.
 	sameNameAfterCrash bool
 	expiredPermits     int // starts with a permit that was over
+	appendBytes        int // as in the Config
+	tasksPerPart       int
+	oversized          int // appends that the store refused because of their size or that of a record
 	listedEnds         int // most ended runs that a worker lists at a time
 	// formerServices are the services that earlier configurations sent a queue to.
 	formerServices map[string][]string
@@ -264,11 +267,15 @@
 		}
 		return []Event{ClaimRead{Claim: c}}
 	case jobs.KindProgress:
+		part := jobs.ProgressPart(e.Key)
+		if len(e.Value) == 0 {
+			return []Event{ProgressRead{ID: id, Part: part}}
+		}
 		p, err := jobs.Decode[jobs.Progress](e.Key, e.Value)
 		if err != nil {
 			panic(err)
 		}
-		return []Event{ProgressRead{ID: id, Progress: p}}
+		return []Event{ProgressRead{ID: id, Part: part, Progress: p}}
 	}
 	return nil
 }
@@ -281,6 +288,7 @@
 	self := fmt.Sprintf("%s-%d", n.name, n.incarnation)
 	n.cell = New(Config{
 		Name: "cell", Self: self, Address: n.name, MaxLease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.link.bandwidthOrZero(), ClaimJitter: n.s.rnd.Float64(), Retention: time.Hour,
+		AppendBytes: n.s.appendBytes, TasksPerPart: n.s.tasksPerPart,
 	})
 	n.submissionsRead, n.progressRead = 0, 0
 	events := []Event{ConfigChanged{Config: n.s.cfg}, InstanceChanged{Name: self, Up: true}}
@@ -410,6 +418,25 @@
 	return err == nil && s.now.Sub(model.Time(issued)) > simPermitTTL
 }
 
+const (
+	// simRecordBytes and simCallBytes are the largest record and append that the store takes.
+	simRecordBytes = 256 << 10
+	simCallBytes   = 2 << 20
+)
+
+// oversized reports whether the store refuses entries because of their size.
+func oversized(entries []Entry) bool {
+	all := 0
+	for _, e := range entries {
+		record := 1 + len(e.Key) + len(e.Value)
+		all += 4 + record
+		if record > simRecordBytes {
+			return true
+		}
+	}
+	return all > simCallBytes
+}
+
 // append repeats an append until it has a final answer, as in the driver.
 func (n *simNode) append(incarnation int, a Append, sent model.Time, inDoubt bool) {
 	s := n.s
@@ -425,7 +452,10 @@
 			s.after(100*time.Millisecond, func() { n.append(incarnation, a, sent, true) })
 			return
 		}
-		if s.storeRefuses {
+		if oversized(a.Entries) {
+			s.oversized++
+		}
+		if s.storeRefuses || oversized(a.Entries) {
 			n.appended(incarnation, Appended{Seq: a.Seq, SentAt: sent, Refused: true})
 			return
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gentianpick/gentianpick/internal/health"
@@ -26,17 +27,20 @@
 	submittedMs int64 // Unix milliseconds, by the receiving VM's clock
 	arrived     model.Time
 
-	state             jobs.State // as decided by this instance
-	storedState       jobs.State // in the store; this is what callers see
-	cancelled         bool
-	started           bool
-	finishedMs        int64 // Unix milliseconds at which the job reached a final state
-	finishedGroups    int   // of all occurrences
-	dueOccurrences    int   // number of occurrences whose scheduled time has been reached
-	dueIndex          int   // position in the cell's dueJobs, or notDelayed
-	sizeTenth         int   // rank by size among the recent jobs of its queue, from 1 to jobsize.Tenths; zero if unknown
-	dirty             bool  // has changes that are in no append yet
-	unappliedProgress *jobs.Progress
+	state          jobs.State // as decided by this instance
+	storedState    jobs.State // in the store; this is what callers see
+	cancelled      bool
+	started        bool
+	finishedMs     int64  // Unix milliseconds at which the job reached a final state
+	finishedGroups int    // of all occurrences
+	dueOccurrences int    // number of occurrences whose scheduled time has been reached
+	dueIndex       int    // position in the cell's dueJobs, or notDelayed
+	sizeTenth      int    // rank by size among the recent jobs of its queue, from 1 to jobsize.Tenths; zero if unknown
+	dirty          []bool // by part of the progress: has changes that are in no append yet
+	dirtyCount     int    // of the dirty parts
+	parts          int    // of the progress that may be in the store; at least part 0 is
+	tasksPerPart   int
+	stored         storedProgress // that was not applied yet
 
 	// partitions of the submissions hold the job, and cancelPartitions its
 	// cancellation; ProgressStream stands for the progress stream.
@@ -57,6 +61,7 @@
 	stepIndex  int
 	step       *jobs.Step
 	tasks      []task
+	firstTask  int                      // number of the tasks of the groups before it
 	avoided    map[model.WorkerName]int // workers at which tasks failed last, with their numbers
 	hasCrashed bool                     // a task has a crash record
 	// unfinishedBefore is the number of steps that it waits for; one that is named twice
@@ -288,7 +293,7 @@
 	config        *jobs.Config
 	removedQueues map[string]*jobs.Queue // that configurations have removed while they had unfinished jobs
 	jobs          map[jobs.ID]*job
-	earlyProgress map[jobs.ID]*jobs.Progress // progress of jobs whose submission was not read yet
+	earlyProgress map[jobs.ID]storedProgress // progress of jobs whose submission was not read yet
 	earlyCancels  map[jobs.ID][]int          // partitions of cancellations whose submission was not read yet
 	workers       map[model.WorkerName]*worker
 	workerList    []*worker // all workers, sorted by name
@@ -337,19 +342,17 @@
 	urgentRoom        map[string]*headroom.Site // room for urgent tasks, by service of the workers
 	candidateBuffer   []fit.Candidate           // reused by candidates, with workerBuffer
 	workerBuffer      []*worker
-	queryBuffer       []*worker  // reused by workersToQuery
-	watchedRuns       int        // runs of suspected tasks
-	probations        int        // workers that are kept for the tasks of one job
-	lostProbations    int        // those of them that do not answer, as of this scheduling pass
-	answeringWorkers  int        // registered workers that answer, as of this scheduling pass
-	lastCrashAt       model.Time // of a worker, because of a task
-	reservations      int        // gangs with reserved workers in this scheduling pass
-	dirtyJobs         []*job
+	queryBuffer       []*worker    // reused by workersToQuery
+	watchedRuns       int          // runs of suspected tasks
+	probations        int          // workers that are kept for the tasks of one job
+	lostProbations    int          // those of them that do not answer, as of this scheduling pass
+	answeringWorkers  int          // registered workers that answer, as of this scheduling pass
+	lastCrashAt       model.Time   // of a worker, because of a task
+	reservations      int          // gangs with reserved workers in this scheduling pass
+	dirtyParts        []partRef    // changed parts of the jobs' progress, in the order of their first changes
+	endBarrier        *endBarrier  // nil unless changes were left out of an append
 	firstStarts       []firstStart // that may be in no append yet, oldest first
-	requestEntries    []Entry      // requested submissions and cancellations for the next append
-	cancelRequests    []uint64     // IDs of the requests for cancellations in requestEntries
-	newJobs           []*job       // jobs in requestEntries
-	cancelledJobs     []*job       // jobs with a cancellation in requestEntries
+	requests          []request    // requested submissions and cancellations for the next append
 	appendSeq         uint64       // sequence number of the append in flight, or of the last one
 	inFlight          *pendingAppend
 	lastAppendAt      model.Time
@@ -376,46 +379,20 @@
 	visited int
 }
 
-// pendingAppend is the content of an append in flight.
-type pendingAppend struct {
-	seq            uint64
-	cancelRequests []uint64
-	cancelledJobs  []*job // with a cancellation in the append
-	newJobs        []*job // with a submission in the append
-	sentAt         model.Time
-	placements     []*placement
-	states         []jobState
-	ends           map[*worker]endMark
-	release        bool
-	removedKeys    []string
-	jobsToTrim     []*job
-}
-
-// endMark identifies the newest ended run since one start of a worker that an append
-// covers.
-type endMark struct {
-	boot int64
-	seq  int64
-}
-
 // firstStart is when the first run of a job was confirmed.
 type firstStart struct {
 	job *job
 	at  model.Time
 }
 
-// jobState is a job's state in an append.
-type jobState struct {
-	job   *job
-	state jobs.State
-}
-
 // New returns a cell without jobs. The instance is not its owner.
 func New(cfg Config) *Cell {
+	cfg.AppendBytes = cmp.Or(cfg.AppendBytes, defaultAppendBytes)
+	cfg.TasksPerPart = cmp.Or(cfg.TasksPerPart, defaultTasksPerPart)
 	return &Cell{
 		cfg:           cfg,
 		jobs:          map[jobs.ID]*job{},
-		earlyProgress: map[jobs.ID]*jobs.Progress{},
+		earlyProgress: map[jobs.ID]storedProgress{},
 		earlyCancels:  map[jobs.ID][]int{},
 		workers:       map[model.WorkerName]*worker{},
 		instances:     map[string]*instance{},
--- a/internal/jobs/entry.go
+++ b/internal/jobs/entry.go
@@ -29,9 +29,38 @@
 // CancelKey returns the key of a cancellation.
 func CancelKey(id ID) string { return prefixCancel + string(id) }
 
-// ProgressKey returns the key of a job's progress.
+// ProgressKey returns the key of a job's progress, or of its first part.
 func ProgressKey(id ID) string { return prefixProgress + string(id) }
 
+// partSeparator stands between a job's ID and the number of a part of its progress.
+const partSeparator = "."
+
+// ProgressPartKey returns the key of a part of a job's progress. Jobs with many tasks have
+// several parts, numbered from 0.
+func ProgressPartKey(id ID, part int) string {
+	if part == 0 {
+		return ProgressKey(id)
+	}
+	return ProgressKey(id) + partSeparator + strconv.Itoa(part)
+}
+
+// ProgressPart returns the part of a job's progress that a key stands for, or -1 if its number
+// is malformed.
+func ProgressPart(key string) int {
+	_, number, found := strings.Cut(key, partSeparator)
+	if !found {
+		return 0
+	}
+	if part, err := strconv.Atoi(number); err == nil && part > 0 {
+		return part
+	}
+	return -1
+}
+
+// MaxEntryBytes bounds a stored value. It is below the largest record of the store, 256 KiB,
+// with the key.
+const MaxEntryBytes = 255 << 10
+
 // KeyKind is the kind of entry that a key stands for.
 type KeyKind int
 
@@ -54,7 +83,8 @@
 	case strings.HasPrefix(key, prefixCancel):
 		return KindCancel, ID(key[1:])
 	case strings.HasPrefix(key, prefixProgress):
-		return KindProgress, ID(key[1:])
+		id, _, _ := strings.Cut(key[1:], partSeparator)
+		return KindProgress, ID(id)
 	}
 	return KindUnknown, ""
 }
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -396,7 +396,11 @@
 			submission(r)
 			return
 		}
+		part := jobs.ProgressPart(r.Key)
 		if len(r.Value) == 0 {
+			if kind == jobs.KindProgress && part > 0 {
+				n.enqueueFrom(g, cell.ProgressRead{ID: id, Part: part})
+			}
 			return
 		}
 		switch kind {
@@ -417,7 +421,7 @@
 				n.deps.Telemetry.Log("decoding progress entry failed", LogFields{Subject: r.Key, Reason: err.Error()})
 				return
 			}
-			n.enqueueFrom(g, cell.ProgressRead{ID: id, Progress: p})
+			n.enqueueFrom(g, cell.ProgressRead{ID: id, Part: part, Progress: p})
 		}
 	}
 }
