Node: a former owner reads the progress stream before it denies a job

Cause: an instance that takes itself for the owner did not read the progress stream, where the new owner had stored the job. It now reads from behind its own newest append, and gives the cell up if it finds a newer claim there. Two further untrue 410 ended with it: an answer while the cell is loaded again, which now waits up to 1 s for the load, and one after the caller's deadline.

--- a/internal/cell/replay.go
+++ b/internal/cell/replay.go
@@ -130,6 +130,12 @@
 }
 
 func (c *Cell) claimRead(claim jobs.Claim) {
+	if c.role == roleOwner {
+		if claim.Epoch > c.epoch {
+			c.stepDown("a newer claim is in the store")
+		}
+		return // its own claim
+	}
 	c.maxEpoch = max(c.maxEpoch, claim.Epoch)
 	if claim.Epoch < c.latestClaim.Epoch {
 		return
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -101,7 +101,7 @@
 	}
 	f := &store.Fence{Writer: cellName, Epoch: a.Epoch, Seq: g.claimSeq.Load() + int64(a.Seq), ExpectedEnd: -1}
 	sent := n.deps.Now()
-	inDoubt, err := n.appendWithRetry(g.ctx, store.Progress, records, f, ownerAppendAttempts)
+	end, inDoubt, err := n.appendWithRetry(g.ctx, store.Progress, records, f, ownerAppendAttempts)
 	if err != nil && !inDoubt && store.KindOf(err) == store.NotApplied {
 		n.enqueueFrom(g, cell.Appended{Seq: a.Seq, SentAt: sent, Refused: true})
 		return
@@ -112,6 +112,7 @@
 		n.enqueueFrom(g, cell.Appended{Seq: a.Seq, SentAt: sent, Fenced: true})
 		return
 	}
+	g.appendedEnd.Store(end)
 	n.enqueueFrom(g, cell.Appended{Seq: a.Seq, SentAt: sent})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,8 @@
 	reads   *partitionReads
 	// claimSeq is the sequence number of this instance's latest claim.
 	claimSeq atomic.Int64
+	// appendedEnd is the end of the progress stream behind this owner's newest append.
+	appendedEnd atomic.Int64
 }
 
 var _ JobAPI = (*Node)(nil)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -26,6 +26,11 @@
 	// as active. It covers the pause between reads and most pauses between entries. A
 	// higher value would delay the takeover from an owner that has failed.
 	ownerActiveAge = 550 * time.Millisecond
+	// maxReloadWait is how long a request for a job waits while the cell is loaded again, as
+	// on an instance that learns that it is no longer the owner, and reloadPollPause how often
+	// it looks.
+	maxReloadWait   = time.Second
+	reloadPollPause = 20 * time.Millisecond
 	// maxStoreSilence is how long the store may not answer before the instance reports
 	// itself as not ready to the balancer. It is above the pause between reads, and above
 	// the latency of a read when the store is sixty times slower than usual.
@@ -157,18 +162,30 @@
 // reads the streams that hold submissions to their ends. The outcome is Refused if the
 // store can't be read.
 func (n *Node) lookupJob(ctx context.Context, id jobs.ID) (cell.JobView, Outcome) {
+	deadline := n.deps.Now().Add(maxReloadWait)
+	for {
+		v, o, reloaded := n.lookupInGeneration(ctx, id)
+		if !reloaded || ctx.Err() != nil || n.deps.Now() > deadline {
+			return v, o
+		}
+		sleep(ctx, reloadPollPause)
+	}
+}
+
+// lookupInGeneration is lookupJob for the current load of the cell. It also reports whether
+// the cell is being loaded or was loaded again meanwhile, so that the answer says nothing.
+func (n *Node) lookupInGeneration(ctx context.Context, id jobs.ID) (v cell.JobView, o Outcome, reloaded bool) {
 	if v, known := n.view(id); known {
-		return v, Outcome{Kind: Done}
+		return v, Outcome{Kind: Done}, false
 	}
 	unavailable := n.storeUnavailable()
 	n.mu.Lock()
-	g, followers := n.generation, slices.Clone(n.submissionFollowers)
-	if !g.owner.Load() {
-		followers = append(followers, n.progressFollower)
-	}
+	// An owner reads the progress stream too: another instance may have taken over since,
+	// and have accepted the job.
+	g, followers := n.generation, append(slices.Clone(n.submissionFollowers), n.progressFollower)
 	n.mu.Unlock()
 	if !g.loaded.Load() {
-		return cell.JobView{}, unavailable
+		return cell.JobView{}, unavailable, true
 	}
 	errs := make([]error, len(followers))
 	var reads sync.WaitGroup
@@ -178,30 +195,37 @@
 	reads.Wait()
 	if err := errors.Join(errs...); err != nil {
 		n.deps.Telemetry.Log("looking up job in store failed", LogFields{Subject: string(id), Reason: err.Error()})
-		return cell.JobView{}, unavailable
+		return cell.JobView{}, unavailable, false
 	}
 	n.flushEvents(ctx)
 	if v, known := n.view(id); known {
-		return v, Outcome{Kind: Done}
+		return v, Outcome{Kind: Done}, false
+	}
+	if g.ctx.Err() != nil || ctx.Err() != nil {
+		return cell.JobView{}, unavailable, true
 	}
-	return cell.JobView{}, Outcome{Kind: NotFound}
+	return cell.JobView{}, Outcome{Kind: NotFound}, false
 }
 
-// readJobRecords reads a stream from its follower's offset to its end, and applies the
-// submission and the cancellation of one job.
+// readJobRecords reads a stream from its follower's offset, or behind the newest append of an
+// owner, to its end, and applies the submission and the cancellation of one job. It also
+// applies claims of the cell.
 func (n *Node) readJobRecords(ctx context.Context, g *generation, f *follower, id jobs.ID) error {
-	partition := f.stream.Partition()
+	partition, from := f.stream.Partition(), f.sharedOffset.Load()
 	if f.stream == store.Progress {
-		partition = cell.ProgressStream
+		partition, from = cell.ProgressStream, max(from, g.appendedEnd.Load())
 	}
-	apply := n.submissionHandler(g, partition)
-	for from := f.sharedOffset.Load(); ; {
+	apply, applyClaim := n.submissionHandler(g, partition), n.progressHandler(g)
+	for {
 		b, err := n.deps.Store.Read(ctx, f.stream, from, 0)
 		if err != nil {
 			return err
 		}
 		for _, r := range b.Records {
-			if kind, recordID := jobs.ParseKey(r.Key); recordID == id && kind != jobs.KindProgress {
+			switch kind, recordID := jobs.ParseKey(r.Key); {
+			case kind == jobs.KindOwner:
+				applyClaim(r)
+			case recordID == id && kind != jobs.KindProgress:
 				apply(r)
 			}
 		}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -58,12 +58,16 @@
 // appendWithRetry appends records and retries until the store has accepted them or given a
 // final answer. It sends another attempt while one has no answer yet. It returns an error
 // after maxAttempts failed attempts, but not for a fenced append in doubt: the next append
-// has to follow it in sequence. The result inDoubt says that the records may be or become
-// stored in spite of the error.
-func (n *Node) appendWithRetry(ctx context.Context, s store.Stream, records []store.Record, f *store.Fence, maxAttempts int) (inDoubt bool, err error) {
+// has to follow it in sequence. It returns the stream's end behind the stored records. The
+// result inDoubt says that the records may be or become stored in spite of the error.
+func (n *Node) appendWithRetry(ctx context.Context, s store.Stream, records []store.Record, f *store.Fence, maxAttempts int) (end int64, inDoubt bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, maxOpenAttempts)
+	type result struct {
+		end int64
+		err error
+	}
+	results := make(chan result, maxOpenAttempts)
 	open, failures := 0, 0
 	attempt := func() {
 		open++
@@ -71,11 +75,11 @@
 			actx, done := context.WithTimeout(ctx, appendTimeout)
 			defer done()
 			sent := n.deps.Now()
-			_, err := n.deps.Store.Append(actx, s, records, f)
+			end, err := n.deps.Store.Append(actx, s, records, f)
 			if err == nil {
 				n.appendLatency.add(n.deps.Now().Sub(sent))
 			}
-			results <- err
+			results <- result{end, err}
 		}()
 	}
 	attempt()
@@ -84,24 +88,25 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return true, ctx.Err()
+			return 0, true, ctx.Err()
 		case <-timer.C:
 			if open < maxOpenAttempts {
 				attempt()
 			}
 			timer.Reset(2 * n.hedgeDelay())
-		case err := <-results:
+		case r := <-results:
 			open--
+			err := r.err
 			if err == nil {
 				if failures > 0 {
 					n.deps.Telemetry.Log("append to stream succeeded after failures", LogFields{Subject: s.String(), Count: int64(failures)})
 				}
 				n.storeAnsweredAt.Store(int64(n.deps.Now()))
-				return false, nil
+				return r.end, false, nil
 			}
 			kind := store.KindOf(err)
 			if kind == store.Fenced || kind == store.OutOfSequence || kind == store.EndMismatch {
-				return inDoubt, err
+				return 0, inDoubt, err
 			}
 			if failures == 0 {
 				n.deps.Telemetry.Log("append to stream failed", LogFields{Subject: s.String(), Reason: err.Error()})
@@ -112,7 +117,7 @@
 				continue
 			}
 			if failures >= maxAttempts && (!inDoubt || f == nil) {
-				return inDoubt, err
+				return 0, inDoubt, err
 			}
 			sleep(ctx, appendRetryPause)
 			attempt()
@@ -349,7 +354,7 @@
 	// then is in doubt.
 	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
-	inDoubt, err := s.n.appendWithRetry(ctx, s.stream, records, nil, submissionAppendAttempts)
+	_, inDoubt, err := s.n.appendWithRetry(ctx, s.stream, records, nil, submissionAppendAttempts)
 	s.mu.Lock()
 	s.openAppends--
 	s.startAppend()
