Cell: the progress of a finished job is removed after its submission

Cause: the submission was removed by one attempt, and the progress, which tells that the job is done, by an append that is repeated until it is stored, whatever became of the first.

The removal of each entry of the submissions is answered now, and repeated later if it may still be there. Progress, and what the progress stream holds besides, goes last, in one append. An owner does not forget a job when it reads that removal, a follower keeps what the next owner needs to remove the progress, and an owner removes progress without a submission.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -42,7 +42,7 @@
 	case JobCancelled:
 		c.jobCancelled(e.ID, e.Partition)
 	case JobExpired:
-		c.jobExpired(e.ID)
+		c.jobExpired(e.ID, e.Partition)
 	case ProgressRead:
 		c.progressRead(e.ID, e.Part, &e.Progress)
 	case ClaimRead:
@@ -87,6 +87,8 @@
 		c.eligibilityAnswered(e)
 	case Appended:
 		c.appended(e)
+	case EntryDeleted:
+		c.entryDeleted(e)
 	}
 }
 
--- a/internal/cell/effect.go
+++ b/internal/cell/effect.go
@@ -94,8 +94,10 @@
 	Expected   time.Duration // expected duration of the call
 }
 
-// DeleteEntry removes an entry of a finished job from a partition of the submissions.
+// DeleteEntry removes an entry of a finished job from a partition of the submissions. It is
+// answered by EntryDeleted.
 type DeleteEntry struct {
+	Job       jobs.ID
 	Partition int
 	Key       string
 }
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -41,8 +41,19 @@
 	ID        jobs.ID
 }
 
-// JobExpired reports that a job's entries were removed after their retention.
-type JobExpired struct{ ID jobs.ID }
+// JobExpired reports that a submission was removed after its retention.
+type JobExpired struct {
+	ID        jobs.ID
+	Partition int // of the submissions that held it
+}
+
+// EntryDeleted is the answer to a DeleteEntry.
+type EntryDeleted struct {
+	Job       jobs.ID
+	Partition int
+	Key       string
+	Deleted   bool // the entry is certainly not there any more
+}
 
 // ProgressRead reports an entry of the progress stream, which was written by an owner.
 type ProgressRead struct {
@@ -210,6 +221,7 @@
 func (SubmitRequested) isEvent()     {}
 func (CancelRequested) isEvent()     {}
 func (JobExpired) isEvent()          {}
+func (EntryDeleted) isEvent()        {}
 func (ProgressRead) isEvent()        {}
 func (ClaimRead) isEvent()           {}
 func (ProgressCaughtUp) isEvent()    {}
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -15,7 +15,7 @@
 )
 
 func newSim(seed uint64, nodes, workers int) *sim {
-	s := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), truth: newTruth(), submitted: map[jobs.ID]jobs.Job{}, requests: map[uint64]func(RequestAnswered){}, crashDelay: 10 * time.Millisecond, listedEnds: 500}
+	s := &sim{rnd: rand.New(rand.NewPCG(seed, 7)), truth: newTruth(), submitted: map[jobs.ID]jobs.Job{}, requests: map[uint64]func(RequestAnswered){}, crashDelay: 10 * time.Millisecond, listedEnds: 500, retention: time.Hour}
 	s.now = model.Time(time.Hour)
 	s.cfg = &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{Name: "urgent", Service: "svc", Priority: 0, MaxAttempts: 2, StretchFactor: 1.5, LatencyTarget: 250 * time.Millisecond,
--- a/internal/cell/ownership.go
+++ b/internal/cell/ownership.go
@@ -159,37 +159,3 @@
 func (j *job) tombstone() jobs.Job {
 	return jobs.Job{ID: j.id, Queue: j.queue, SubmittedMs: j.submittedMs}
 }
-
-// removeExpired removes finished jobs after their retention.
-func (c *Cell) removeExpired() {
-	if c.now.Sub(c.lastExpiryAt) < expiryInterval {
-		return
-	}
-	c.lastExpiryAt = c.now
-	for _, j := range c.sortedJobs() {
-		if j.storedState.Final() && j.dirtyCount == 0 && j.finishedMs != 0 && c.unixMs-j.finishedMs > c.cfg.Retention.Milliseconds() {
-			c.removeJob(j)
-		}
-	}
-}
-
-// removeJob removes a job and its entries. Those in the progress stream are removed by
-// the next append.
-func (c *Cell) removeJob(j *job) {
-	for part := range max(1, j.parts) {
-		c.removedKeys = append(c.removedKeys, jobs.ProgressPartKey(j.id, part))
-	}
-	c.removeKey(j.partitions, jobs.JobKey(j.id))
-	c.removeKey(j.cancelPartitions, jobs.CancelKey(j.id))
-	delete(c.jobs, j.id)
-}
-
-func (c *Cell) removeKey(partitions []int, key string) {
-	for _, p := range partitions {
-		if p == ProgressStream {
-			c.removedKeys = append(c.removedKeys, key)
-		} else {
-			c.emit(DeleteEntry{Partition: p, Key: key})
-		}
-	}
-}
--- a/internal/cell/replay.go
+++ b/internal/cell/replay.go
@@ -58,16 +58,6 @@
 	return append(partitions, partition)
 }
 
-func (c *Cell) jobExpired(id jobs.ID) {
-	// If a finished job was removed while the cell was being loaded, only the tombstone
-	// of its submission may be known.
-	if j := c.jobs[id]; j != nil && (j.state.Final() || len(j.steps) == 0) {
-		delete(c.jobs, id)
-	}
-	delete(c.earlyCancels, id)
-	delete(c.earlyProgress, id)
-}
-
 // progressRead handles an entry that an owner wrote. The owner itself ignores it, since
 // its own state is newer.
 func (c *Cell) progressRead(id jobs.ID, part int, p *jobs.Progress) {
@@ -80,6 +70,13 @@
 		return
 	}
 	j := c.jobs[id]
+	if part == 0 && p.State == "" { // was removed
+		delete(c.earlyProgress, id)
+		if j != nil {
+			j.progressRemoved = true
+		}
+		return
+	}
 	if j == nil {
 		if c.earlyProgress[id] == nil {
 			c.earlyProgress[id] = storedProgress{}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -44,8 +44,9 @@
 	crashDelay      time.Duration // after which a task that crashes workers does so
 	// sameNameAfterCrash means that a worker that a task has crashed keeps its name.
 	sameNameAfterCrash bool
-	expiredPermits     int // starts with a permit that was over
-	appendBytes        int // as in the Config
+	expiredPermits     int           // starts with a permit that was over
+	retention          time.Duration // of finished jobs
+	appendBytes        int           // as in the Config
 	tasksPerPart       int
 	oversized          int // appends that the store refused because of their size or that of a record
 	listedEnds         int // most ended runs that a worker lists at a time
@@ -224,7 +225,7 @@
 	end := len(n.s.store.submissions)
 	var events []Event
 	for _, e := range n.s.store.submissions[n.submissionsRead:end] {
-		events = append(events, decodeEntry(e)...)
+		events = append(events, decodeEntry(e, 0)...)
 	}
 	n.submissionsRead = end
 	if n.owner {
@@ -241,7 +242,7 @@
 	end := len(n.s.store.progress)
 	var events []Event
 	for _, e := range n.s.store.progress[n.progressRead:end] {
-		events = append(events, decodeEntry(e)...)
+		events = append(events, decodeEntry(e, ProgressStream)...)
 	}
 	events = append(events, ProgressCaughtUp{End: int64(end), SentAt: sent, Records: end - n.progressRead})
 	n.progressRead = end
@@ -249,17 +250,23 @@
 }
 
 // decodeEntry returns the events of a stored entry, as in the driver.
-func decodeEntry(e Entry) []Event {
+func decodeEntry(e Entry, partition int) []Event {
 	kind, id := jobs.ParseKey(e.Key)
 	switch kind {
 	case jobs.KindJob:
+		if len(e.Value) == 0 {
+			return []Event{JobExpired{ID: id, Partition: partition}}
+		}
 		j, err := jobs.Decode[jobs.Job](e.Key, e.Value)
 		if err != nil {
 			panic(err)
 		}
-		return []Event{JobAdded{Job: j}}
+		return []Event{JobAdded{Job: j, Partition: partition}}
 	case jobs.KindCancel:
-		return []Event{JobCancelled{ID: id}}
+		if len(e.Value) == 0 {
+			return nil
+		}
+		return []Event{JobCancelled{ID: id, Partition: partition}}
 	case jobs.KindOwner:
 		c, err := jobs.Decode[jobs.Claim](e.Key, e.Value)
 		if err != nil {
@@ -287,7 +294,7 @@
 	n.owner = false
 	self := fmt.Sprintf("%s-%d", n.name, n.incarnation)
 	n.cell = New(Config{
-		Name: "cell", Self: self, Address: n.name, MaxLease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.link.bandwidthOrZero(), ClaimJitter: n.s.rnd.Float64(), Retention: time.Hour,
+		Name: "cell", Self: self, Address: n.name, MaxLease: simLease, GangWait: 3 * time.Second, Cores: n.cores, Bandwidth: n.link.bandwidthOrZero(), ClaimJitter: n.s.rnd.Float64(), Retention: n.s.retention,
 		AppendBytes: n.s.appendBytes, TasksPerPart: n.s.tasksPerPart,
 	})
 	n.submissionsRead, n.progressRead = 0, 0
@@ -377,6 +384,14 @@
 			}
 			n.send(incarnation, a)
 		})
+	case DeleteEntry:
+		s.after(s.latency(), func() {
+			deleted := !(n.storeCut || s.storeDown || s.storeRefuses)
+			if deleted {
+				s.store.submissions = append(s.store.submissions, Entry{Key: e.Key})
+			}
+			reply(EntryDeleted{Job: e.Job, Partition: e.Partition, Key: e.Key, Deleted: deleted})
+		})
 	case RequestAnswered:
 		if call := s.requests[e.RequestID]; call != nil {
 			delete(s.requests, e.RequestID)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -46,6 +46,8 @@
 	// cancellation; ProgressStream stands for the progress stream.
 	partitions       []int
 	cancelPartitions []int
+	removals         int      // DeleteEntry effects in flight
+	progressRemoved  bool     // from the store, as this instance has read
 	submitRequests   []uint64 // IDs of the requests that wait for the job to be stored
 	unstored         bool     // submitted, but in no stream yet
 }
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -201,12 +201,13 @@
 	})
 }
 
-// removeEntry removes the entry of a finished job from its submission stream. After a
-// failure, the next owner that loads the job tries again.
+// removeEntry removes the entry of a finished job from its submission stream.
 func (n *Node) removeEntry(g *generation, f cell.DeleteEntry) {
 	ctx, cancel := context.WithTimeout(g.ctx, appendTimeout)
 	defer cancel()
-	if _, err := n.deps.Store.Append(ctx, store.SubmissionPartition(f.Partition), []store.Record{{Key: f.Key}}, nil); err != nil {
+	_, err := n.deps.Store.Append(ctx, store.SubmissionPartition(f.Partition), []store.Record{{Key: f.Key}}, nil)
+	if err != nil {
 		n.deps.Telemetry.Log("removing entry of finished job failed", LogFields{Subject: f.Key, Reason: err.Error()})
 	}
+	n.enqueueFrom(g, cell.EntryDeleted{Job: f.Job, Partition: f.Partition, Key: f.Key, Deleted: err == nil})
 }
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -374,7 +374,7 @@
 		kind, id := jobs.ParseKey(r.Key)
 		switch {
 		case kind == jobs.KindJob && len(r.Value) == 0:
-			n.enqueueFrom(g, cell.JobExpired{ID: id})
+			n.enqueueFrom(g, cell.JobExpired{ID: id, Partition: partition})
 		case kind == jobs.KindJob:
 			j, err := decodeJob(r.Key, r.Value)
 			if err != nil {
@@ -398,7 +398,7 @@
 		}
 		part := jobs.ProgressPart(r.Key)
 		if len(r.Value) == 0 {
-			if kind == jobs.KindProgress && part > 0 {
+			if kind == jobs.KindProgress {
 				n.enqueueFrom(g, cell.ProgressRead{ID: id, Part: part})
 			}
 			return
