Cell: removed queues outlive the instances that knew them

Cause: an instance that never saw a queue in a configuration used one with a single attempt and without a service.

The owner stores a removed queue that unfinished jobs need, and removes it from the store when no job needs it or a configuration has it again. An instance that starts later reads it with the progress. With a queue that nobody knows, tasks wait, and no failure uses up their attempts; once it is known, a task that has failed as often as it allows is not started again.

--- a/internal/cell/append.go
+++ b/internal/cell/append.go
@@ -21,6 +21,7 @@
 	seq         uint64
 	sentAt      model.Time
 	requests    []request
+	queues      []*jobs.Queue // removed ones that are stored
 	placements  []*placement
 	parts       []storedPart
 	ends        map[*worker]endMark
@@ -71,13 +72,14 @@
 		return
 	}
 	heartbeatDue := c.now.Sub(c.lastAppendAt) >= heartbeatInterval
-	if len(c.dirtyParts) == 0 && len(c.requests) == 0 && len(c.plannedPlacements) == 0 && !c.endsUnstored && !heartbeatDue && !c.wantsRelease() {
+	if len(c.dirtyParts) == 0 && len(c.requests) == 0 && len(c.changedQueues) == 0 && len(c.plannedPlacements) == 0 && !c.endsUnstored && !heartbeatDue && !c.wantsRelease() {
 		return
 	}
 	c.appendSeq++
 	in := &pendingAppend{seq: c.appendSeq, sentAt: c.now}
 	b := appendBuilder{in: in, limit: c.cfg.AppendBytes, Append: Append{Seq: c.appendSeq, Epoch: c.epoch}}
 	c.addRequests(&b)
+	c.addQueues(&b)
 	c.addParts(&b)
 	c.addPlacements(&b)
 	c.addRemovals(&b)
@@ -121,6 +123,14 @@
 	b.in.requests, c.requests = c.requests[:n:n], c.requests[n:]
 }
 
+// addQueues adds the removed queues that jobs need.
+func (c *Cell) addQueues(b *appendBuilder) {
+	for _, q := range c.changedQueues {
+		b.add(Entry{Key: jobs.QueueKey(q.Name), Value: jobs.Encode(q)})
+	}
+	b.in.queues, c.changedQueues = c.changedQueues, nil
+}
+
 // addParts adds the changed parts of the jobs' progress, the oldest changes first.
 func (c *Cell) addParts(b *appendBuilder) {
 	dirty := c.dirtyParts
@@ -284,6 +294,7 @@
 		}
 	}
 	c.plannedPlacements = append(in.placements, c.plannedPlacements...)
+	c.changedQueues = append(in.queues, c.changedQueues...)
 	c.removedKeys = append(in.removedKeys, c.removedKeys...)
 	c.jobsToTrim = append(in.jobsToTrim, c.jobsToTrim...)
 	c.endsUnstored, c.endBarrier = true, nil
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -45,6 +45,8 @@
 		c.jobExpired(e.ID, e.Partition)
 	case ProgressRead:
 		c.progressRead(e.ID, e.Part, &e.Progress)
+	case QueueRead:
+		c.queueRead(e)
 	case ClaimRead:
 		c.claimRead(e.Claim)
 	case ProgressCaughtUp:
@@ -100,6 +102,9 @@
 	c.config = cfg
 	c.log("configuration applied", "", Fields{Count: int(cfg.Version)})
 	c.fullSortNeeded = true
+	if c.ownerReady {
+		c.storeRemovedQueues()
+	}
 }
 
 func (c *Cell) tick(e Tick) {
@@ -122,50 +127,7 @@
 	c.expireLeases()
 	c.checkRuns()
 	c.removeExpired()
-}
-
-// keepRemovedQueues keeps the queues that a new configuration removes, and those removed
-// earlier that still have unfinished jobs.
-func (c *Cell) keepRemovedQueues(next *jobs.Config) {
-	if c.config == nil {
-		return
-	}
-	present := make(map[string]bool, len(next.Queues))
-	for i := range next.Queues {
-		present[next.Queues[i].Name] = true
-	}
-	kept := map[string]*jobs.Queue{}
-	if len(c.removedQueues) > 0 {
-		for _, j := range c.jobs {
-			if q := c.removedQueues[j.queue]; q != nil && !j.state.Final() && !present[j.queue] {
-				kept[j.queue] = q
-			}
-		}
-	}
-	for i := range c.config.Queues {
-		if q := &c.config.Queues[i]; !present[q.Name] {
-			removed := *q
-			removed.Priority = lowestPriority
-			kept[q.Name] = &removed
-		}
-	}
-	c.removedQueues = kept
-}
-
-// queueOf returns the configuration of a job's queue. A queue that was removed from the
-// configuration has the lowest priority, and its jobs run on the workers of its last service.
-func (c *Cell) queueOf(j *job) *jobs.Queue {
-	if j.queueConfig == nil || j.configured != c.config {
-		// Each scheduling pass needs the queues of thousands of waiting jobs.
-		j.configured, j.queueConfig = c.config, c.config.Queue(j.queue)
-		if j.queueConfig == nil {
-			j.queueConfig = c.removedQueues[j.queue]
-		}
-		if j.queueConfig == nil {
-			j.queueConfig = &jobs.Queue{Name: j.queue, Priority: lowestPriority, MaxAttempts: 1}
-		}
-	}
-	return j.queueConfig
+	c.sweepStoredQueues()
 }
 
 // priorityOf returns the priority of a queue; 0 is the highest.
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -62,6 +62,12 @@
 	Progress jobs.Progress // without groups for a part that was removed
 }
 
+// QueueRead reports the entry of a queue that a configuration has removed.
+type QueueRead struct {
+	Name  string
+	Queue *jobs.Queue // nil if the entry was removed
+}
+
 // ClaimRead reports a claim that was read from the progress stream.
 type ClaimRead struct{ Claim jobs.Claim }
 
@@ -223,6 +229,7 @@
 func (JobExpired) isEvent()          {}
 func (EntryDeleted) isEvent()        {}
 func (ProgressRead) isEvent()        {}
+func (QueueRead) isEvent()           {}
 func (ClaimRead) isEvent()           {}
 func (ProgressCaughtUp) isEvent()    {}
 func (SubmissionsCaughtUp) isEvent() {}
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -279,7 +279,7 @@
 
 // attemptsUsedUp reports whether a task of a job, or a gang, has used up its attempts.
 func (s *sim) attemptsUsedUp(j jobs.Job) bool {
-	maxAttempts := s.cfg.Queue(j.Queue).MaxAttempts
+	maxAttempts := s.queue(j.Queue).MaxAttempts
 	for i, st := range j.Steps {
 		gang := 0
 		for k := range st.Tasks {
--- a/internal/cell/lifecycle.go
+++ b/internal/cell/lifecycle.go
@@ -53,6 +53,7 @@
 	}
 	// The parts that hold a gang may be of different times.
 	g.run, g.failures, g.lastFailedRun = max(g.run, p.Run), max(g.failures, p.Failures), max(g.lastFailedRun, p.FailedRun)
+	g.mostFailures = max(g.mostFailures, p.Failures)
 	for i := range g.tasks {
 		if p.Done.Has(i) && g.tasks[i].state != taskDone {
 			if g.tasks[i].state == taskPending {
@@ -69,6 +70,7 @@
 		}
 		target := &g.tasks[t.Index]
 		target.run, target.failures, target.lastFailedRun = t.Run, t.Failures, t.FailedRun
+		g.mostFailures = max(g.mostFailures, t.Failures)
 		if t.Checkpoint != "" {
 			g.saveCheckpoint(t.Index, t.Checkpoint)
 		}
@@ -288,13 +290,20 @@
 		t.lastFailedRun = run
 		failures = t.failures
 	}
+	g.mostFailures = max(g.mostFailures, failures)
 	g.avoid(index, w.info.Name)
 	if g.step.Gang {
 		c.markGroup(g)
 	} else {
 		c.markTask(g, index)
 	}
-	if maxAttempts := c.queueOf(g.job).MaxAttempts; !g.step.LongRunning && failures >= maxAttempts && !g.job.state.Final() {
+	c.failIfAttemptsUsedUp(g)
+}
+
+// failIfAttemptsUsedUp fails the job of a group with a task, or a gang, that has failed as
+// often as its queue allows. Tasks that last have no limit.
+func (c *Cell) failIfAttemptsUsedUp(g *group) {
+	if !g.step.LongRunning && g.mostFailures > 0 && g.mostFailures >= c.queueOf(g.job).MaxAttempts && !g.job.state.Final() {
 		c.finish(g.job, jobs.Failed, "attempts used up")
 	}
 }
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -169,6 +169,12 @@
 // permits.
 func (c *Cell) placeGroup(g *group) {
 	q := c.queueOf(g.job)
+	if g.mostFailures > 0 && g.mostFailures >= q.MaxAttempts {
+		c.failIfAttemptsUsedUp(g) // the queue allows fewer than it did, or was not known
+		if g.job.state.Final() {
+			return
+		}
+	}
 	if g.step.Gang && (g.activePlacements > 0 || g.pending < len(g.tasks)-g.doneCount) {
 		return // some members of the last run are not over yet
 	}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -50,6 +50,7 @@
 	tasksPerPart       int
 	oversized          int // appends that the store refused because of their size or that of a record
 	listedEnds         int // most ended runs that a worker lists at a time
+	removedQueues      map[string]*jobs.Queue
 	// formerServices are the services that earlier configurations sent a queue to.
 	formerServices map[string][]string
 	// constraints gives random jobs limits, labels and services; nil for none.
@@ -273,6 +274,16 @@
 			panic(err)
 		}
 		return []Event{ClaimRead{Claim: c}}
+	case jobs.KindQueue:
+		read := QueueRead{Name: jobs.QueueOfKey(e.Key)}
+		if len(e.Value) > 0 {
+			q, err := jobs.Decode[jobs.Queue](e.Key, e.Value)
+			if err != nil {
+				panic(err)
+			}
+			read.Queue = &q
+		}
+		return []Event{read}
 	case jobs.KindProgress:
 		part := jobs.ProgressPart(e.Key)
 		if len(e.Value) == 0 {
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -428,7 +428,7 @@
 			}
 		}
 	}
-	if maxAttempts := s.cfg.Queue(s.submitted[t.Job].Queue).MaxAttempts; s.truth.failuresAcknowledged[t] >= maxAttempts {
+	if maxAttempts := s.queue(s.submitted[t.Job].Queue).MaxAttempts; s.truth.failuresAcknowledged[t] >= maxAttempts {
 		s.fail("too many attempts: %v started after %d failures", t, s.truth.failuresAcknowledged[t])
 	}
 	if s.truth.workersKilled[t] >= 3 {
@@ -441,12 +441,20 @@
 	}
 }
 
+// queue returns the configuration of a queue, or the last one if it was removed.
+func (s *sim) queue(name string) *jobs.Queue {
+	if q := s.cfg.Queue(name); q != nil {
+		return q
+	}
+	return s.removedQueues[name]
+}
+
 // checkWorker checks that a task may start at a worker: the queue is sent to its service, it
 // has the label that the step requires, and it holds fewer tasks of the step than may be
 // there. A task that is being stopped counts.
 func (s *sim) checkWorker(w *simWorker, t jobs.TaskRef, step *jobs.Step) {
 	queue := s.submitted[t.Job].Queue
-	if w.service != s.cfg.Queue(queue).Service && !slices.Contains(s.formerServices[queue], w.service) {
+	if w.service != s.queue(queue).Service && !slices.Contains(s.formerServices[queue], w.service) {
 		s.fail("wrong service: %v of queue %s started at %s of service %s", t, queue, w.name, w.service)
 	}
 	if step.Label != "" && !slices.Contains(w.labels, step.Label) {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -82,6 +82,7 @@
 	// Of a gang; its members share these values.
 	run              int
 	failures         int
+	mostFailures     int // of a task, or of the gang
 	lastFailedRun    int
 	checkpoint       string
 	stoppedRun       int // newest run of which all members were stopped
@@ -294,6 +295,9 @@
 
 	config        *jobs.Config
 	removedQueues map[string]*jobs.Queue // that configurations have removed while they had unfinished jobs
+	storedQueues  map[string]*jobs.Queue // removed ones in the progress stream
+	changedQueues []*jobs.Queue          // of those, in no append yet
+	queuesSweptAt model.Time
 	jobs          map[jobs.ID]*job
 	earlyProgress map[jobs.ID]storedProgress // progress of jobs whose submission was not read yet
 	earlyCancels  map[jobs.ID][]int          // partitions of cancellations whose submission was not read yet
@@ -394,6 +398,7 @@
 	return &Cell{
 		cfg:           cfg,
 		jobs:          map[jobs.ID]*job{},
+		storedQueues:  map[string]*jobs.Queue{},
 		earlyProgress: map[jobs.ID]storedProgress{},
 		earlyCancels:  map[jobs.ID][]int{},
 		workers:       map[model.WorkerName]*worker{},
--- a/internal/jobs/entry.go
+++ b/internal/jobs/entry.go
@@ -19,6 +19,7 @@
 	prefixJob      = "j"
 	prefixCancel   = "c"
 	prefixProgress = "p"
+	prefixQueue    = "q"
 	// KeyOwner is the key of the newest Claim of the cell.
 	KeyOwner = "owner"
 )
@@ -61,6 +62,15 @@
 // with the key.
 const MaxEntryBytes = 255 << 10
 
+// MaxQueueNameBytes bounds the names of queues with an entry: keys have at most 255 bytes.
+const MaxQueueNameBytes = 254
+
+// QueueKey returns the key of a queue that was removed from the configuration.
+func QueueKey(name string) string { return prefixQueue + name }
+
+// QueueOfKey returns the name of the queue that a key of KindQueue stands for.
+func QueueOfKey(key string) string { return key[len(prefixQueue):] }
+
 // KeyKind is the kind of entry that a key stands for.
 type KeyKind int
 
@@ -71,6 +81,7 @@
 	KindCancel
 	KindProgress
 	KindOwner
+	KindQueue // of a queue that was removed from the configuration
 )
 
 // ParseKey returns the kind of a key and the job that it belongs to, if any.
@@ -82,6 +93,8 @@
 		return KindJob, ID(key[1:])
 	case strings.HasPrefix(key, prefixCancel):
 		return KindCancel, ID(key[1:])
+	case strings.HasPrefix(key, prefixQueue):
+		return KindQueue, ""
 	case strings.HasPrefix(key, prefixProgress):
 		id, _, _ := strings.Cut(key[1:], partSeparator)
 		return KindProgress, ID(id)
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -396,6 +396,10 @@
 			submission(r)
 			return
 		}
+		if kind == jobs.KindQueue {
+			n.applyRemovedQueue(g, r)
+			return
+		}
 		part := jobs.ProgressPart(r.Key)
 		if len(r.Value) == 0 {
 			if kind == jobs.KindProgress {
@@ -426,6 +430,20 @@
 	}
 }
 
+// applyRemovedQueue applies the entry of a queue that was removed from the configuration.
+func (n *Node) applyRemovedQueue(g *generation, r store.Record) {
+	e := cell.QueueRead{Name: jobs.QueueOfKey(r.Key)}
+	if len(r.Value) > 0 {
+		q, err := jobs.Decode[jobs.Queue](r.Key, r.Value)
+		if err != nil {
+			n.deps.Telemetry.Log("decoding removed queue failed", LogFields{Subject: r.Key, Reason: err.Error()})
+			return
+		}
+		e.Queue = &q
+	}
+	n.enqueueFrom(g, e)
+}
+
 // connectToOwner connects to the instance that a claim makes the owner. It closes the
 // connection if that is this instance or if the claim was released.
 func (n *Node) connectToOwner(c jobs.Claim) {
