--- a/internal/cell/runs.go
+++ b/internal/cell/runs.go
@@ -139,6 +139,9 @@
 	case Unknown, OldRun:
 		// The run may be running, may have ended, or its start may still arrive. A stop
 		// resolves all three cases unless a renewal lists the run first.
+		if e.Verdict == Unknown {
+			c.recordLateStart(p)
+		}
 		if p.phase == phaseStarting {
 			c.stop(p, "start without a usable answer")
 			if p.group.step.Gang {
@@ -210,6 +213,7 @@
 	if w == nil {
 		return
 	}
+	w.lateStartBarred(e)
 	p := w.runs[e.Task]
 	if p == nil || p.run != e.Run || p.phase != phaseStopping {
 		return
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -51,6 +51,8 @@
 	oversized          int // appends that the store refused because of their size or that of a record
 	listedEnds         int // most ended runs that a worker lists at a time
 	removedQueues      map[string]*jobs.Queue
+	// lateCallsOutliveProcess has calls that are late reach the next process of their worker.
+	lateCallsOutliveProcess bool
 	// formerServices are the services that earlier configurations sent a queue to.
 	formerServices map[string][]string
 	// constraints gives random jobs limits, labels and services; nil for none.
@@ -523,9 +525,9 @@
 		return
 	}
 	if _, renew := unanswered.(Renewed); !renew && s.rnd.Float64() < s.lateCallShare {
-		boot := w.boot // a process restart discards the calls it received
+		boot := w.boot // a process restart usually discards the calls it received
 		s.after(2*time.Second+time.Duration(s.rnd.Int64N(int64(10*time.Second))), func() {
-			if w.up && w.boot == boot {
+			if w.up && (w.boot == boot || s.lateCallsOutliveProcess) {
 				call(w)
 			}
 		})
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -217,8 +217,9 @@
 	runs        map[jobs.TaskRef]*placement
 	foreignRuns int // runs that this owner did not place
 
-	seenEndSeq     int64 // newest ended run that was handled
-	storedEndSeq   int64 // newest ended run that is in the store
+	lateStarts     []lateStart // starts without an answer that may still be carried out
+	seenEndSeq     int64       // newest ended run that was handled
+	storedEndSeq   int64       // newest ended run that is in the store
 	renewInFlight  bool
 	retryInFlight  bool // the renewal in flight follows a failed one
 	renewSentAt    model.Time
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -207,6 +207,7 @@
 			c.runEnded(w, end)
 		}
 	}
+	c.barLateStarts(w)
 	c.reconcileRuns(w, e, restarted)
 	c.checkSpeed(w)
 	c.endsUnstored = c.endsUnstored || w.seenEndSeq > w.storedEndSeq
