Node: an incomplete listing is retried, or concludes nothing

Found while looking for other readers of lists that may be incomplete; no caller is known to have met it. A listing of the store that repeats a page was ended and taken for complete by the followers of submissions and progress, so that an owner could act without knowing every job.

Only the listing of the directory ends so, since other writers have entries there, and then no worker counts as gone. Any other listing starts again. The reader gets a listing.List, which says what it holds.

TestIncompleteListingRemovesAndCompletesNothing failed with the check taken out.

--- a/internal/cell/largejobs_test.go
+++ b/internal/cell/largejobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -199,6 +200,10 @@
 				for b.Loop() {
 					var began model.Time
 					s, _, cost := playLargeJob(b, shape, tasks, func(s *sim, _ *simNode) { began = s.now })
+					runtime.GC()
+					var after runtime.MemStats
+					runtime.ReadMemStats(&after)
+					runtime.KeepAlive(s)
 					largest := 0
 					for _, e := range s.store.progress {
 						largest = max(largest, len(e.Value))
@@ -206,6 +211,7 @@
 					b.ReportMetric(float64(cost.longest.Microseconds())/1000, "ms/longest-event")
 					b.ReportMetric(float64(cost.total.Microseconds())/float64(tasks), "us/task")
 					b.ReportMetric(float64(largest), "B/largest-record")
+					b.ReportMetric(float64(after.HeapAlloc)/(1<<20), "MB/heap-with-simulation")
 					b.ReportMetric(s.now.Sub(began).Seconds(), "virtual-s")
 				}
 			})
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -154,3 +154,34 @@
 	is.True(n.directory.load(ctx)) // it ends
 	is.Equal(int(n.dispatcher.workers.Load()), 4)
 }
+
+// repeatingStore lists the same page for ever.
+type repeatingStore struct{ emptyStore }
+
+func (repeatingStore) Newest(context.Context, store.Stream, string, time.Duration) (store.Page, error) {
+	return store.Page{Records: []store.Record{{Key: "a", Value: []byte("entry")}}, More: true}, nil
+}
+
+// Guards against conclusions from a listing of which pages are missing: workers that were not
+// listed counted as gone, and an owner took itself to know every job.
+func TestIncompleteListingRemovesAndCompletesNothing(t *testing.T) {
+	is := is.New(t)
+	tel := NewTelemetry(io.Discard, "error", "vm")
+	defer tel.Close()
+	n := New(Settings{Name: "vm", SubmissionPartitions: 1}, Deps{
+		Store: repeatingStore{}, Telemetry: tel, Now: func() model.Time { return model.Time(time.Now().UnixNano()) },
+		Decode: Decoders{Worker: func(key string, _ []byte) (jobs.WorkerInfo, error) {
+			return jobs.WorkerInfo{Name: model.WorkerName(key)}, nil
+		}},
+	}, "vm-1")
+	n.applyWorker(store.Record{Key: "z", Value: []byte("entry")})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	is.True(n.directory.load(ctx))
+	is.Equal(len(n.workers), 2) // a, and z, which was not listed
+	for _, stream := range []store.Stream{store.Progress, store.SubmissionPartition(0)} {
+		f := newFollower(n, stream, 0, 0, func(store.Record) {})
+		is.True(!f.load(ctx))
+		is.Equal(f.caughtUpAt.Load(), int64(0))
+	}
+}
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -10,8 +11,11 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/gentianpick/gentianpick/internal/cell"
 	"github.com/gentianpick/gentianpick/internal/jobs"
+	"github.com/gentianpick/gentianpick/internal/listing"
 	"github.com/gentianpick/gentianpick/internal/model"
 	"github.com/gentianpick/gentianpick/internal/store"
 )
@@ -68,7 +72,7 @@
 	// with the time at which the read was sent.
 	afterRead func(b store.Batch, sentAt model.Time)
 	// loaded, if set, is called after each load with the keys that it returned.
-	loaded    func(keys map[string]int64)
+	loaded    func(keys listing.List[string])
 	ownerMode *atomic.Bool // if set and true, the stream is read with the owner's waits and pauses
 	paused    *atomic.Bool // if set and true, reading is suspended
 
@@ -134,14 +138,27 @@
 			break
 		}
 	}
+	if !complete && f.stream != store.Workers {
+		// A job that was not read may have run, or may have been cancelled.
+		f.readFailed(ctx, errIncompleteListing)
+		return false
+	}
 	f.setOffset(end)
-	if f.loaded != nil && complete {
-		f.loaded(f.loadedOffsets)
+	if f.loaded != nil {
+		keys := slices.Collect(maps.Keys(f.loadedOffsets))
+		if complete {
+			f.loaded(listing.Whole(keys...))
+		} else {
+			f.loaded(listing.Part(keys...))
+		}
 	}
 	f.caughtUpAt.Store(int64(sent))
 	return true
 }
 
+// errIncompleteListing reports a listing that ended before its last page.
+var errIncompleteListing = errors.New("listing of stream is incomplete")
+
 // maxKeyBytes is the largest size of a key.
 const maxKeyBytes = 255
 
@@ -331,13 +348,20 @@
 	n.enqueue(cell.WorkerRegistered{Info: info})
 }
 
-// removeUnlistedWorkers removes the workers whose entries are not among the given ones of
-// a complete list. Their removal may have expired before it was read.
-func (n *Node) removeUnlistedWorkers(listed map[string]int64) {
+// removeUnlistedWorkers removes the workers without an entry. Their removal may have expired
+// before it was read.
+func (n *Node) removeUnlistedWorkers(entries listing.List[string]) {
+	if !entries.IsWhole() {
+		return // the others may have one
+	}
+	listed := make(map[model.WorkerName]bool, len(entries.Entries()))
+	for _, key := range entries.Entries() {
+		listed[model.WorkerName(key)] = true
+	}
 	n.mu.Lock()
 	var gone []model.WorkerName
 	for name := range n.workers {
-		if _, ok := listed[string(name)]; !ok {
+		if !listed[name] {
 			gone = append(gone, name)
 		}
 	}
