Cell: histories with large work, and a check of due times

It checks that no task starts before its time, and that tasks that last are not given up.

The entries of removed queues are found by their own test only.

--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -33,7 +33,7 @@
 }
 
 // submit submits a random job.
-func (s *sim) submit() jobs.ID {
+func (s *sim) submit(o historyOptions) jobs.ID {
 	id := jobs.ID(fmt.Sprintf("%016x", s.rnd.Uint64()))
 	j := jobs.Job{ID: id, SubmittedMs: time.Duration(s.now).Milliseconds()}
 	step := func(tasks int, cpu, ms int64) jobs.Step {
@@ -52,6 +52,9 @@
 		g.Gang = s.rnd.IntN(2) == 0
 		j.Queue, j.Steps = "gangs", []jobs.Step{g}
 	}
+	if o.largeWork {
+		s.enlarge(&j)
+	}
 	if s.rnd.IntN(25) == 0 {
 		j.Payload = "hopeless"
 	}
@@ -90,6 +93,9 @@
 	deadlyShare float64 // of the jobs, which crash each worker that starts them
 	// constraints are limits, labels and services, and workers that fail all or change.
 	constraints bool
+	// largeWork are jobs of many parts, occurrences, tasks of nearly a whole worker, tasks
+	// that last, and queues that are removed and added again.
+	largeWork bool
 }
 
 // runHistory runs random jobs with random faults and returns the violations.
@@ -113,7 +119,7 @@
 	const span = 20 * time.Second
 	for range 60 {
 		s.after(time.Duration(s.rnd.Int64N(int64(span))), func() {
-			id := s.submit()
+			id := s.submit(o)
 			if s.rnd.IntN(10) == 0 {
 				s.after(time.Duration(s.rnd.Int64N(int64(3*time.Second))), func() { s.cancel(id) })
 			}
@@ -122,6 +128,9 @@
 	for range faults {
 		s.after(time.Duration(s.rnd.Int64N(int64(span))), s.injectFault)
 	}
+	if o.largeWork {
+		s.after(time.Duration(s.rnd.Int64N(int64(span))), s.removeAndAddQueue)
+	}
 	if o.constraints {
 		for range 8 {
 			s.after(time.Duration(s.rnd.Int64N(int64(span))), s.injectWorkerChange)
@@ -137,6 +146,7 @@
 		}
 	}
 	s.run(span)
+	s.cancelLasting()
 	s.lateCallShare, s.lostAnswerShare, s.storeDown, s.storeRefuses = 0, 0, false, false
 	for _, n := range s.nodes {
 		n.storeCut, n.clockError = false, 0
@@ -162,6 +172,7 @@
 	d := 200*time.Millisecond + time.Duration(s.rnd.Int64N(int64(8*time.Second)))
 	switch s.rnd.IntN(16) {
 	case 15:
+		s.clocksJump = true
 		n.clockError = time.Duration(s.rnd.Int64N(int64(8*time.Second))) - 4*time.Second
 		s.after(d, func() { n.clockError = 0 })
 	case 14:
@@ -257,8 +268,9 @@
 		switch v.State {
 		case jobs.Completed:
 			for i, st := range j.Steps {
-				for k := range st.Tasks {
-					if t := (jobs.TaskRef{Job: id, Step: i, Index: k}); !s.truth.done[t] && !st.Gang {
+				for k := range st.Tasks * j.Schedule.OccurrenceCount() {
+					t := jobs.TaskRef{Job: id, Occurrence: k / st.Tasks, Step: i, Index: k % st.Tasks}
+					if !s.truth.done[t] && !st.Gang {
 						s.fail("wrong state: %s is completed without %v", id, t)
 					}
 				}
@@ -282,8 +294,8 @@
 	maxAttempts := s.queue(j.Queue).MaxAttempts
 	for i, st := range j.Steps {
 		gang := 0
-		for k := range st.Tasks {
-			f := s.truth.failures[jobs.TaskRef{Job: j.ID, Step: i, Index: k}]
+		for k := range st.Tasks * j.Schedule.OccurrenceCount() {
+			f := s.truth.failures[jobs.TaskRef{Job: j.ID, Occurrence: k / st.Tasks, Step: i, Index: k % st.Tasks}]
 			gang += f
 			if f >= maxAttempts {
 				return true
@@ -300,8 +312,11 @@
 // job.
 func (s *sim) crashedTwice(j jobs.Job) bool {
 	for i, st := range j.Steps {
-		for k := range st.Tasks {
-			if s.truth.crashes[jobs.TaskRef{Job: j.ID, Step: i, Index: k}] >= 2 {
+		if st.LongRunning {
+			continue // is never given up
+		}
+		for k := range st.Tasks * j.Schedule.OccurrenceCount() {
+			if s.truth.crashes[jobs.TaskRef{Job: j.ID, Occurrence: k / st.Tasks, Step: i, Index: k % st.Tasks}] >= 2 {
 				return true
 			}
 		}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -51,6 +51,7 @@
 	oversized          int // appends that the store refused because of their size or that of a record
 	listedEnds         int // most ended runs that a worker lists at a time
 	removedQueues      map[string]*jobs.Queue
+	clocksJump         bool // the time of day of some instance was wrong
 	// lateCallsOutliveProcess has calls that are late reach the next process of their worker.
 	lateCallsOutliveProcess bool
 	// formerServices are the services that earlier configurations sent a queue to.
--- a/internal/cell/simworker_test.go
+++ b/internal/cell/simworker_test.go
@@ -195,7 +195,7 @@
 // tasks returns the tasks that the worker runs, in a fixed order.
 func (w *simWorker) tasks() []jobs.TaskRef {
 	return slices.SortedFunc(maps.Keys(w.runs), func(a, b jobs.TaskRef) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 	})
 }
 
@@ -413,6 +413,13 @@
 		s.fail("task ran twice: %v run %d started at %s after the task was done", t, run, w.name)
 	}
 	s.truth.lastStart[t] = s.now
+	early := 250 * time.Millisecond
+	if s.clocksJump {
+		early += 5 * time.Second
+	}
+	if due := s.submitted[t.Job].Schedule.DueMs(t.Occurrence); time.Duration(s.now).Milliseconds() < due-early.Milliseconds() {
+		s.fail("wrong order: %v started %d ms before its time", t, due-time.Duration(s.now).Milliseconds())
+	}
 	room := w.capacity
 	if s.now.Sub(w.resizedAt) < resizeNotice {
 		room = room.Max(w.capacityBefore)
@@ -428,7 +435,7 @@
 			}
 		}
 	}
-	if maxAttempts := s.queue(s.submitted[t.Job].Queue).MaxAttempts; s.truth.failuresAcknowledged[t] >= maxAttempts {
+	if maxAttempts := s.queue(s.submitted[t.Job].Queue).MaxAttempts; !step.LongRunning && s.truth.failuresAcknowledged[t] >= maxAttempts {
 		s.fail("too many attempts: %v started after %d failures", t, s.truth.failuresAcknowledged[t])
 	}
 	if s.truth.workersKilled[t] >= 3 {
