Rank: tasks that last of an urgent queue rank as urgent at once

They had ranked behind urgent work for their first 3 s of waiting since they rank by that time. The check in TestTasksThatLastGoBeforeWorkThatCanWait failed before.

--- a/internal/policy/rank/rank.go
+++ b/internal/policy/rank/rank.go
@@ -71,7 +71,7 @@
 		latestStart = in.Arrived
 	}
 	switch {
-	case in.Lasting && now.Sub(in.Arrived) <= maxLastingWait:
+	case in.Lasting && !in.Urgent && now.Sub(in.Arrived) <= maxLastingWait:
 		class = classLasting
 	case in.Lasting:
 		class = classUrgent
--- a/internal/policy/rank/rank_test.go
+++ b/internal/policy/rank/rank_test.go
@@ -91,4 +91,5 @@
 	is.True(urgentInTime < lasting(maxLastingWait))
 	is.True(lasting(maxLastingWait+1) < urgentInTime)
 	is.True(!Useless(lasting(time.Hour)))
+	is.True(Key(now, Input{Urgent: true, Lasting: true, Arrived: now}) <= urgentInTime) // of an urgent queue
 }
