Cell: a line and a counter for lists of ends that are not whole; names of a stored queue

The fields of a stored queue get names of their own, so that renaming a field of the code does not change what is stored.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -73,6 +73,9 @@
 	// throttleLogInterval is the minimum time between log lines about calls being
 	// throttled.
 	throttleLogInterval = time.Second
+	// partialLogInterval is the minimum time between log lines about a worker that lists a part
+	// of its ended runs.
+	partialLogInterval = time.Second
 	// maxStopDoublings bounds the exponential growth of the pause between stops of a run.
 	// Repeating them rarely is enough, since a renewal reports the end of the run as
 	// well.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -217,17 +217,18 @@
 	runs        map[jobs.TaskRef]*placement
 	foreignRuns int // runs that this owner did not place
 
-	lateStarts     []lateStart // starts without an answer that may still be carried out
-	seenEndSeq     int64       // newest ended run that was handled
-	storedEndSeq   int64       // newest ended run that is in the store
-	renewInFlight  bool
-	retryInFlight  bool // the renewal in flight follows a failed one
-	renewSentAt    model.Time
-	renewTimeout   time.Duration // of the renewal in flight
-	renewFailedAt  model.Time
-	unreachableAt  model.Time // first renewal without an answer since the last one with an answer
-	failedRenewals int        // consecutive renewals without an answer
-	replaced       bool       // another worker has answered at its address
+	lateStarts      []lateStart // starts without an answer that may still be carried out
+	partialLoggedAt model.Time  // when a log line last told that it lists a part of its ended runs
+	seenEndSeq      int64       // newest ended run that was handled
+	storedEndSeq    int64       // newest ended run that is in the store
+	renewInFlight   bool
+	retryInFlight   bool // the renewal in flight follows a failed one
+	renewSentAt     model.Time
+	renewTimeout    time.Duration // of the renewal in flight
+	renewFailedAt   model.Time
+	unreachableAt   model.Time // first renewal without an answer since the last one with an answer
+	failedRenewals  int        // consecutive renewals without an answer
+	replaced        bool       // another worker has answered at its address
 	// disconnected means that the first renewal without an answer failed before its timeout,
 	// as when the worker's process ends, and not when it is cut off.
 	disconnected bool
--- a/internal/cell/workers.go
+++ b/internal/cell/workers.go
@@ -207,12 +207,26 @@
 			c.runEnded(w, end)
 		}
 	}
+	c.reportPartialList(w, e)
 	c.barLateStarts(w)
 	c.reconcileRuns(w, e, restarted)
 	c.checkSpeed(w)
 	c.endsUnstored = c.endsUnstored || w.seenEndSeq > w.storedEndSeq
 }
 
+// reportPartialList reports a worker that has, or may have, more ended runs than it lists: what
+// became of a run that it does not list is not known until they are acknowledged.
+func (c *Cell) reportPartialList(w *worker, e Renewed) {
+	if e.Ended.IsWhole() {
+		return
+	}
+	c.count("partial_end_lists_total", "")
+	if c.now.Sub(w.partialLoggedAt) >= partialLogInterval {
+		w.partialLoggedAt = c.now
+		c.log("worker lists a part of its ended runs", "", Fields{Worker: w.info.Name, Count: len(e.Ended.Entries()), Age: c.now.Sub(c.confirmedOwnerAt)})
+	}
+}
+
 // checkSpeed gives no new tasks to a worker whose runs are slow, and stops its runs if
 // they make no progress, so that their tasks are placed elsewhere.
 func (c *Cell) checkSpeed(w *worker) {
--- a/internal/jobs/model.go
+++ b/internal/jobs/model.go
@@ -110,24 +110,24 @@
 
 // Queue is the configuration of a queue, to which callers submit jobs of one kind.
 type Queue struct {
-	Name          string
-	Host          string        // host name in requests
-	PathPrefix    string        // path of requests, with a trailing slash
-	Service       string        // name of the pool of workers that run the tasks
-	Priority      int           // lower values are scheduled first
-	MaxAttempts   int           // number of failed runs of one task that fails the job
-	StretchFactor float64       // multiplies a job's critical path in its target latency
-	LatencyTarget time.Duration // added to StretchFactor times the critical path
-	Eligibility   Eligibility
-	ReplyTimeout  time.Duration
+	Name          string        `json:"name"`
+	Host          string        `json:"host"`         // host name in requests
+	PathPrefix    string        `json:"path_prefix"`  // path of requests, with a trailing slash
+	Service       string        `json:"service"`      // name of the pool of workers that run the tasks
+	Priority      int           `json:"priority"`     // lower values are scheduled first
+	MaxAttempts   int           `json:"max_attempts"` // number of failed runs of one task that fails the job
+	StretchFactor float64       `json:"stretch"`      // multiplies a job's critical path in its target latency
+	LatencyTarget time.Duration `json:"latency_ns"`   // added to StretchFactor times the critical path
+	Eligibility   Eligibility   `json:"eligibility"`
+	ReplyTimeout  time.Duration `json:"reply_timeout_ns"`
 }
 
 // Eligibility describes the eligibility service of a queue, which decides which workers
 // may run a step. With the zero value, any worker may run any step.
 type Eligibility struct {
-	Base      time.Duration // fixed part of the duration of a call
-	PerWorker time.Duration // added for each worker in the call
-	PermitTTL time.Duration // validity of a permit
+	Base      time.Duration `json:"base_ns"`       // fixed part of the duration of a call
+	PerWorker time.Duration `json:"per_worker_ns"` // added for each worker in the call
+	PermitTTL time.Duration `json:"permit_ttl_ns"` // validity of a permit
 }
 
 // Required reports whether a start needs a permit.
