--- a/internal/cell/largejobs_test.go
+++ b/internal/cell/largejobs_test.go
@@ -167,6 +167,7 @@
 func TestLargeJobsAreVisitedInProportion(t *testing.T) {
 	for _, shape := range jobShapes {
 		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			_, n, _ := playLargeJob(t, shape, 1500, nil)
 			size := 0
--- a/internal/cell/largeprogress_test.go
+++ b/internal/cell/largeprogress_test.go
@@ -18,6 +18,7 @@
 func TestLargestProgressFitsInRecord(t *testing.T) {
 	for _, shape := range jobShapes {
 		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			c := New(Config{Name: "cell", Self: "vm-1", MaxLease: simLease})
 			for i, j := range shape.make(jobs.MaxTasks, 0) {
@@ -56,6 +57,7 @@
 // stopped the progress of all jobs: here after the crash of a worker under a job of
 // thousands of tasks that last, whose crash records are stored.
 func TestCrashUnderLargeJobIsStored(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(1, 3, 8)
 	s.reliableRuns = true
@@ -85,6 +87,7 @@
 
 // Guards against an append of many submissions that is larger than the store takes.
 func TestManyLargeSubmissionsAreStored(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSim(1, 1, 8)
 	s.reliableRuns = true
--- a/internal/cell/lasting_test.go
+++ b/internal/cell/lasting_test.go
@@ -121,6 +121,7 @@
 		}},
 	} {
 		t.Run(fmt.Sprintf("%s_%d_of_%d_beside_%d", l.queue, l.tasks, l.milliCPU, l.batchMilliCPU), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			for seed := range uint64(3) {
 				l.away, l.useful, l.batchJobs = 0, 0, 0
