Node: a lookup on an instance that is not the owner applies no claims

Since the lookup of an unknown job reads the progress stream for an owner that was frozen, every instance applied the claims that it met there, behind its follower: one that a slow read had delayed made it connect to the former owner, until the next claim was read. Only an owner, which does not follow that stream, applies them now, without a connection.

--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -433,16 +433,9 @@
 		}
 		switch kind {
 		case jobs.KindOwner:
-			claim, err := jobs.Decode[jobs.Claim](r.Key, r.Value)
-			if err == nil {
-				err = claim.Validate()
+			if claim, ok := n.applyClaim(g, r); ok {
+				n.connectToOwner(claim)
 			}
-			if err != nil {
-				n.deps.Telemetry.Log("decoding ownership claim failed", LogFields{Reason: err.Error()})
-				return
-			}
-			n.enqueueFrom(g, cell.ClaimRead{Claim: claim})
-			n.connectToOwner(claim)
 		case jobs.KindProgress:
 			p, err := jobs.Decode[jobs.Progress](r.Key, r.Value)
 			if err != nil {
@@ -454,6 +447,20 @@
 	}
 }
 
+// applyClaim applies a claim of the cell. It returns false for one that is malformed.
+func (n *Node) applyClaim(g *generation, r store.Record) (jobs.Claim, bool) {
+	claim, err := jobs.Decode[jobs.Claim](r.Key, r.Value)
+	if err == nil {
+		err = claim.Validate()
+	}
+	if err != nil {
+		n.deps.Telemetry.Log("decoding ownership claim failed", LogFields{Reason: err.Error()})
+		return jobs.Claim{}, false
+	}
+	n.enqueueFrom(g, cell.ClaimRead{Claim: claim})
+	return claim, true
+}
+
 // applyRemovedQueue applies the entry of a queue that was removed from the configuration.
 func (n *Node) applyRemovedQueue(g *generation, r store.Record) {
 	e := cell.QueueRead{Name: jobs.QueueOfKey(r.Key)}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -208,14 +208,14 @@
 }
 
 // readJobRecords reads a stream from its follower's offset, or behind the newest append of an
-// owner, to its end, and applies the submission and the cancellation of one job. It also
-// applies claims of the cell.
+// owner, to its end, and applies the submission and the cancellation of one job. An
+// owner also applies the claims that it finds.
 func (n *Node) readJobRecords(ctx context.Context, g *generation, f *follower, id jobs.ID) error {
 	partition, from := f.stream.Partition(), f.sharedOffset.Load()
 	if f.stream == store.Progress {
 		partition, from = cell.ProgressStream, max(from, g.appendedEnd.Load())
 	}
-	apply, applyClaim := n.submissionHandler(g, partition), n.progressHandler(g)
+	apply := n.submissionHandler(g, partition)
 	for {
 		b, err := n.deps.Store.Read(ctx, f.stream, from, 0)
 		if err != nil {
@@ -223,8 +223,8 @@
 		}
 		for _, r := range b.Records {
 			switch kind, recordID := jobs.ParseKey(r.Key); {
-			case kind == jobs.KindOwner:
-				applyClaim(r)
+			case kind == jobs.KindOwner && g.owner.Load():
+				n.applyClaim(g, r) // an owner does not follow this stream
 			case recordID == id && kind != jobs.KindProgress:
 				apply(r)
 			}
