--- a/internal/jobs/check.go
+++ b/internal/jobs/check.go
@@ -58,6 +58,14 @@
 	return nil
 }
 
+// ValidateSize returns an InvalidError if the store can't hold the job.
+func (j *Job) ValidateSize() error {
+	if n := len(Encode(j)); n > MaxEntryBytes {
+		return &InvalidError{Reason: fmt.Sprintf("needs %d bytes in the store, at most %d are allowed; use fewer steps or shorter names", n, MaxEntryBytes)}
+	}
+	return nil
+}
+
 // maxRun bounds run numbers, failures and epochs. Many more can follow without an overflow.
 const maxRun = 1 << 40
 
