--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -91,12 +91,17 @@
 	return c, nil
 }
 
-// configure writes a configuration with a route for each of the given queues.
+// configure writes a configuration with a route for each of the given queues, in the form NAME or
+// NAME=PREFIX. Without a prefix, the name is the first part of the path.
 func (c *cluster) configure(version int, queues ...string) {
 	routes := []any{}
-	for i, name := range queues {
+	for i, queue := range queues {
+		name, prefix, found := strings.Cut(queue, "=")
+		if !found {
+			prefix = "/" + name + "/"
+		}
 		routes = append(routes, map[string]any{
-			"name": name, "host": "q.example", "pathPrefix": "/" + name + "/", "service": "svc", "timeoutMs": 3000, "targetLatencyMs": 250, "priority": i, "maxAttempts": 4, "stretch": 1.5,
+			"name": name, "host": "q.example", "pathPrefix": prefix, "service": "svc", "timeoutMs": 3000, "targetLatencyMs": 250, "priority": i, "maxAttempts": 4, "stretch": 1.5,
 		})
 	}
 	c.st.put("keyed.op", "config", map[string]any{
