review: case 8, a late start runs at the next process of its worker

A start without an answer arrives 5.8 s later, just after its worker has crashed and come back, while the task runs at another worker.

--- a/review/standin2/recorder.go
+++ b/review/standin2/recorder.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,7 +26,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{f: f, start: time.Now(), running: map[string]map[string]int{}, done: map[string]time.Time{}, failed: map[string]int{}}, nil
+	r := &recorder{f: f, start: time.Now()}
+	r.reset()
+	return r, nil
+}
+
+// reset forgets what runs where, for a new deployment.
+func (r *recorder) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running, r.done, r.failed, r.doubles = map[string]map[string]int{}, map[string]time.Time{}, map[string]int{}, nil
+	r.line("a new deployment")
 }
 
 func (r *recorder) event(format string, args ...any) {
@@ -91,3 +102,10 @@
 	defer r.mu.Unlock()
 	return r.failed[task]
 }
+
+// twice returns the tasks that ran twice at the same time, or again after they were done.
+func (r *recorder) twice() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.doubles)
+}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,7 +20,10 @@
 	heartbeat = 1500 * time.Millisecond
 )
 
-// worker is a stand-in of a worker. The payload of a job is "ms=N": its tasks run for N
+// lasts is the payload of a job whose tasks run until they are stopped.
+const lasts = "lasts"
+
+// worker is a stand-in of a worker. The payload of a job is lasts or "ms=N": its tasks run for N
 // milliseconds and end as done.
 type worker struct {
 	id, kind, rack string
@@ -27,6 +31,9 @@
 	log            *recorder
 	st             *store
 
+	// hold, if set, takes a call out of the network. It returns whether it did.
+	hold func(w *worker, path string, body []byte) bool
+
 	mu      sync.Mutex
 	up      bool
 	address string
@@ -149,6 +156,9 @@
 }
 
 func duration(spec string) time.Duration {
+	if spec == lasts {
+		return time.Hour
+	}
 	n, err := strconv.Atoi(strings.TrimPrefix(spec, "ms="))
 	if err != nil {
 		n = 500
@@ -167,10 +177,15 @@
 		LastSeen   int64  `json:"lastSeen"`
 		WaitMs     int64  `json:"waitMs"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(body, &q) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.hold != nil && w.hold(w, r.URL.Path, body) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -240,7 +255,11 @@
 		}
 		running := [][]any{}
 		for _, r := range w.runs {
-			running = append(running, []any{r.task, r.run, "", int(100 * time.Since(r.begun) / max(r.takes, 1)), 500})
+			percent := int(100 * time.Since(r.begun) / max(r.takes, 1))
+			if r.takes == time.Hour {
+				percent = 100
+			}
+			running = append(running, []any{r.task, r.run, "", percent, 500})
 		}
 		reply(http.StatusOK, map[string]any{"running": running, "ended": slices.Clone(w.ended[:min(len(w.ended), 500)])})
 	default:
