--- a/review/standin2/case_late.go
+++ b/review/standin2/case_late.go
@@ -35,7 +35,7 @@
 		w    *worker
 		body []byte
 	}
-	held1 := make(chan order, 1)
+	delayed := make(chan order, 1)
 	var once sync.Once
 	hold := func(w *worker, path string, body []byte) (taken bool) {
 		var q struct {
@@ -46,7 +46,7 @@
 		}
 		once.Do(func() {
 			taken = true
-			held1 <- order{w, body}
+			delayed <- order{w, body}
 		})
 		return taken
 	}
@@ -67,7 +67,7 @@
 		return notRun, fmt.Errorf("the job was not accepted")
 	}
 	if e.trouble {
-		o := <-held1
+		o := <-delayed
 		e.log.event("the start of %s at %s is delayed", task, o.w.id)
 		time.Sleep(crashAt)
 		o.w.crash()
