Review: a job that lost its worker twice is shown as failed

The worker of a job's only task crashes twice; the job is shown as failed though none of its runs has ended failed, and it had four attempts.

--- /dev/null
+++ b/review/standin3/main.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld = iota
+	exitBroken
+	exitNotRun
+)
+
+// errBroken reports a broken rule.
+var errBroken = errors.New("rule broken")
+
+// cases are the cases by name. With trouble, a case has its disruption.
+var cases = map[string]func(rec *record, trouble bool) error{
+	"crashes": playCrashes,
+	"gone":    playGone,
+	"owners":  playOwners,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
+		os.Exit(exitNotRun)
+	}
+	rec, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	err = cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	code := exitHeld
+	switch {
+	case errors.Is(err, errBroken):
+		code = exitBroken
+	case err != nil:
+		code = exitNotRun
+	}
+	rec.add("result", "exit %d: %v", code, err)
+	rec.close()
+	if err != nil {
+		fmt.Println(err)
+	}
+	os.Exit(code)
+}
