Review: a job whose cancellation was answered with 410 runs

Case 14: the store goes silent for 2.2 s while it is asked to store a job. The caller gets 504 and cancels; it is told that there is no such job, and 0.4 s later the owner stores it and starts it.

--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -181,11 +181,6 @@
 	return fmt.Errorf("no instance has written")
 }
 
-func (c *cluster) signal(in *instance, s syscall.Signal) {
-	c.rec.add(in.name, "process gets signal %s", s)
-	_ = in.cmd.Process.Signal(s)
-}
-
 // close ends everything that was started.
 func (c *cluster) close() {
 	for _, in := range c.instances {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 	"crashes": playCrashes,
 	"gone":    playGone,
 	"owners":  playOwners,
+	"cancel":  playCancel,
 }
 
 func main() {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -33,6 +34,11 @@
 	lastBeat map[string]time.Time
 	// lastWriter is the instance that was the last to write under a condition.
 	lastWriter string
+	// silenceKey is a key at whose first append the store goes silent for silenceFor: it
+	// answers no call that it gets meanwhile, and carries none of them out.
+	silenceKey  string
+	silenceFor  time.Duration
+	silentUntil time.Time
 }
 
 // partition is one partition of a topic.
@@ -131,12 +137,34 @@
 	return s.lastWriter
 }
 
+// goSilent has the store go silent when a record with a key is appended.
+func (s *store) goSilent(key string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenceKey, s.silenceFor = key, d
+}
+
+// silent reports whether a call gets no answer.
+func (s *store) silent(path string, body []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silenceKey != "" && path == "/-/log-append" && bytes.Contains(body, []byte(s.silenceKey)) {
+		s.silenceKey, s.silentUntil = "", time.Now().Add(s.silenceFor)
+		s.rec.add("platform", "store is silent for %s", s.silenceFor)
+	}
+	return time.Now().Before(s.silentUntil)
+}
+
 func (s *store) serve(w http.ResponseWriter, r *http.Request, instance string) {
 	q := r.URL.Query()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	if s.silent(r.URL.Path, body) {
+		<-r.Context().Done()
+		return
+	}
 	switch r.URL.Path {
 	case "/-/log-append":
 		s.append(w, q, body, instance)
