--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -202,13 +202,17 @@
 
 // startWorker starts a new process of a worker at a place, under a new id.
 func (c *cluster) startWorker(place int, address string) error {
+	return c.startWorkerOfKind(place, address, "a")
+}
+
+func (c *cluster) startWorkerOfKind(place int, address, kind string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lives++
 	if address == "" {
 		address = fmt.Sprintf("%s%d:0", c.network, 100+place)
 	}
-	w, err := startWorker(c.rec, c.store, c.runs, fmt.Sprintf("i-%d-%d", place, c.lives), address, fmt.Sprintf("r1-%d", place/8), 16000)
+	w, err := startWorker(c.rec, c.store, c.runs, fmt.Sprintf("i-%d-%d", place, c.lives), address, kind, fmt.Sprintf("r1-%d", place/8), 16000)
 	if err != nil {
 		return err
 	}
@@ -288,8 +292,13 @@
 
 // submit hands in a job of one step and returns whether it was accepted.
 func (c *cluster) submit(in *instance, job string, tasks, cpu, ms int) bool {
-	spec, _ := json.Marshal(spec{Ms: ms})
-	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": []map[string]any{{"count": tasks, "cpu": cpu, "memMb": 256, "estimateMs": ms}}})
+	return c.submitStep(in, job, spec{Ms: ms}, map[string]any{"count": tasks, "cpu": cpu, "memMb": 256, "estimateMs": ms})
+}
+
+// submitStep hands in a job of one step.
+func (c *cluster) submitStep(in *instance, job string, s spec, step map[string]any) bool {
+	text, _ := json.Marshal(s)
+	body, _ := json.Marshal(map[string]any{"spec": string(text), "steps": []map[string]any{step}})
 	status, _ := c.call(in, http.MethodPost, job, string(body))
 	return status >= 200 && status < 300
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,6 +22,7 @@
 	"gone":    playGone,
 	"owners":  playOwners,
 	"cancel":  playCancel,
+	"lasting": playLasting,
 }
 
 func main() {
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -17,6 +17,7 @@
 	holdMax       = 6 * time.Second        // bounds.holdMaxMs of the settings
 	stopTime      = 100 * time.Millisecond // below bounds.stopMs of the settings
 	maxHoldWait   = 2 * time.Second
+	never         = time.Hour
 	targetHeader  = "X-Target-Instance"
 )
 
@@ -27,6 +28,7 @@
 	duration time.Duration // from the start's spec
 	end      *time.Timer
 	stopping bool
+	lasts    bool // until it is stopped
 }
 
 // worker is one process of a worker. It follows PROTOCOL.md, "Running tasks".
@@ -56,13 +58,13 @@
 }
 
 // startWorker starts a worker's process at an address; a port of 0 stands for any free one.
-func startWorker(rec *record, s *store, runs *runLog, id, address, rack string, cpu int) (*worker, error) {
+func startWorker(rec *record, s *store, runs *runLog, id, address, kind, rack string, cpu int) (*worker, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
-		rec: rec, store: s, runs: runs, id: id, address: ln.Addr().String(), labels: []string{"a", rack}, cpu: cpu, born: time.Now(),
+		rec: rec, store: s, runs: runs, id: id, address: ln.Addr().String(), labels: []string{kind, rack}, cpu: cpu, born: time.Now(),
 		stopped: make(chan struct{}), running: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
@@ -235,12 +237,19 @@
 		return http.StatusConflict, "old"
 	}
 	spec := parseSpec(o.Spec)
-	n := &run{number: o.Run, begin: time.Now(), duration: spec.duration()}
-	n.end = time.AfterFunc(n.duration, func() {
+	n := &run{number: o.Run, begin: time.Now(), duration: spec.duration(), lasts: spec.Lasts}
+	duration, how := n.duration, "done"
+	switch {
+	case spec.FailMs > 0:
+		duration, how = time.Duration(spec.FailMs)*time.Millisecond, "failed"
+	case spec.Lasts:
+		duration = never
+	}
+	n.end = time.AfterFunc(duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.running[o.Task] == n && !n.stopping {
-			w.finish(o.Task, "done")
+			w.finish(o.Task, how)
 		}
 	})
 	w.running[o.Task] = n
@@ -248,6 +257,17 @@
 	return http.StatusOK, ""
 }
 
+// failRuns has the runs of a job fail.
+func (w *worker) failRuns(job string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(w.running)) {
+		if strings.HasPrefix(task, job+".") {
+			w.finish(task, "failed")
+		}
+	}
+}
+
 func (w *worker) stop(o *order) (int, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -314,7 +334,10 @@
 	running := [][]any{}
 	for _, task := range slices.Sorted(maps.Keys(w.running)) {
 		n := w.running[task]
-		percent := min(99, int(100*time.Since(n.begin)/max(n.duration, 1)))
+		percent := 100
+		if !n.lasts {
+			percent = min(99, int(100*time.Since(n.begin)/max(n.duration, 1)))
+		}
 		running = append(running, []any{task, n.number, "", percent, 1000})
 	}
 	body := map[string]any{
@@ -330,7 +353,9 @@
 
 // spec is the payload of the jobs of this program.
 type spec struct {
-	Ms int `json:"ms"` // how long a task works
+	Ms     int  `json:"ms"`               // how long a task works
+	FailMs int  `json:"failMs,omitempty"` // how long after its start each run fails; zero for never
+	Lasts  bool `json:"lasts,omitempty"`  // a task runs until it is stopped
 }
 
 func parseSpec(text string) (s spec) {
