Review: a large job beside a service is never started

Case 13: eight tasks of 7.6 cores wait for ever beside a service that leaves 9 cores on each of eight workers, since the whole group must leave room for urgent tasks.

--- /dev/null
+++ b/review/standin3/case_gang.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// playGang hands in 16 jobs, of which the first is a gang that finds no room beside a service. At no
+// time after finish_s may one of the others, small jobs with room on each worker, have nothing
+// running for 3 s.
+func playGang(rec *record, trouble bool) error {
+	const (
+		places     = 6
+		serviceCPU = 4000
+		gangCPU    = 14_000
+		cpu        = 1000
+		gangMs     = 60_000
+		workMs     = 90_000
+		jobs       = 15
+		finish     = 14 * time.Second
+		idle       = 3 * time.Second
+	)
+	c, err := newCluster(rec, 3)
+	defer c.close()
+	if err != nil {
+		return err
+	}
+	c.configureQueue(1, 4, 1)
+	for place := range places {
+		if err := c.startWorker(place, ""); err != nil {
+			return err
+		}
+	}
+	if err := c.waitReady(); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	services := jobID(1)
+	if !c.submitStep(c.instances[0], services, spec{Lasts: true}, map[string]any{"count": places, "cpu": serviceCPU, "memMb": 256, "longRunning": true, "antiAffinity": 1}) {
+		return fmt.Errorf("service was not accepted")
+	}
+	if err := waitFor(5*time.Second, func() bool { return len(c.runs.of(services)) == places }); err != nil {
+		return fmt.Errorf("service does not run")
+	}
+	if trouble && !c.submitStep(c.instances[2], jobID(2), spec{Ms: gangMs}, map[string]any{"count": places, "cpu": gangCPU, "memMb": 256, "estimateMs": gangMs, "gang": true}) {
+		return fmt.Errorf("gang was not accepted")
+	}
+	time.Sleep(2 * time.Second)
+	var small []string
+	for n := range jobs {
+		job := jobID(10 + n)
+		if !c.submitStep(c.instances[n%len(c.instances)], job, spec{Ms: workMs}, map[string]any{"count": 1, "cpu": cpu, "memMb": 256, "estimateMs": workMs}) {
+			return fmt.Errorf("job was not accepted")
+		}
+		small = append(small, job)
+		time.Sleep(100 * time.Millisecond)
+	}
+	rec.add("check", "end of the traffic")
+	time.Sleep(finish)
+	waiting := map[string]bool{}
+	for _, job := range small {
+		waiting[job] = true
+	}
+	for begin := time.Now(); time.Since(begin) < idle; time.Sleep(20 * time.Millisecond) {
+		for _, job := range small {
+			if waiting[job] && len(c.runs.of(job)) > 0 {
+				delete(waiting, job)
+			}
+		}
+	}
+	rec.add("check", "%d of %d small jobs have nothing running for %s, %s after the end of the traffic; %d of 16000 are in use on each of the %d workers", len(waiting), jobs, idle, finish, serviceCPU, places)
+	if len(waiting) == 0 {
+		return nil
+	}
+	rec.add("check", "the first is %s", c.state(small[0]))
+	return fmt.Errorf("%w: %d of %d small jobs have nothing running for %s, %s after the end of the traffic", errBroken, len(waiting), jobs, idle, finish)
+}
--- /dev/null
+++ b/review/standin3/case_large.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// playLarge hands in a large job where a service uses 7 of the 16 cores of each worker. At no time
+// after finish_s may the job have nothing running for 3 s.
+func playLarge(rec *record, trouble bool) error {
+	const (
+		places     = 8
+		serviceCPU = 7000
+		cpu        = 7600
+		large      = places // tasks
+		small      = 4
+		workMs     = 5000
+		finish     = 14 * time.Second
+		idle       = 3 * time.Second
+	)
+	c, err := newCluster(rec, 3)
+	defer c.close()
+	if err != nil {
+		return err
+	}
+	c.configureQueue(1, 4, 1)
+	for place := range places {
+		if err := c.startWorker(place, ""); err != nil {
+			return err
+		}
+	}
+	if err := c.waitReady(); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	services := jobID(1)
+	if !c.submitStep(c.instances[0], services, spec{Lasts: true}, map[string]any{"count": places, "cpu": serviceCPU, "memMb": 256, "longRunning": true, "antiAffinity": 1}) {
+		return fmt.Errorf("service was not accepted")
+	}
+	if err := waitFor(5*time.Second, func() bool { return len(c.runs.of(services)) == places }); err != nil {
+		return fmt.Errorf("service does not run")
+	}
+	job, tasks := jobID(2), small
+	if trouble {
+		tasks = large
+	}
+	if !c.submitStep(c.instances[1], job, spec{Ms: workMs}, map[string]any{"count": tasks, "cpu": cpu, "memMb": 256, "estimateMs": workMs}) {
+		return fmt.Errorf("job was not accepted")
+	}
+	rec.add("check", "end of the traffic")
+	time.Sleep(finish)
+	for begin := time.Now(); time.Since(begin) < idle; time.Sleep(20 * time.Millisecond) {
+		if done := c.runs.ends(job, "done"); done == tasks || c.workerOf(job) >= 0 {
+			rec.add("check", "%d of %d tasks of job %s are done, one runs: %t", done, tasks, job, c.workerOf(job) >= 0)
+			return nil
+		}
+	}
+	rec.add("check", "job %s is %s; %d runs of its %d tasks; each of the %d workers has %d of 16000 free", job, c.state(job), len(c.runs.of(job)), tasks, places, 16000-serviceCPU)
+	return fmt.Errorf("%w: job has nothing running for %s, %s after the end of the traffic", errBroken, idle, finish)
+}
--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -72,12 +72,15 @@
 }
 
 // configure writes a configuration as the operator does.
-func (c *cluster) configure(version, attempts int) {
+func (c *cluster) configure(version, attempts int) { c.configureQueue(version, attempts, 0) }
+
+// configureQueue is configure with a priority of the queue; 0 comes first.
+func (c *cluster) configureQueue(version, attempts, priority int) {
 	c.store.put(configTopic, "config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": "work", "host": host, "pathPrefix": prefix, "service": service, "timeoutMs": 3000, "targetLatencyMs": 1000,
-			"priority": 0, "maxAttempts": attempts, "stretch": 2.0,
+			"priority": priority, "maxAttempts": attempts, "stretch": 2.0,
 		}},
 		"services": []map[string]any{{"name": service, "maxConns": 64, "rejectsOverload": false}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,6 +23,8 @@
 	"owners":  playOwners,
 	"cancel":  playCancel,
 	"lasting": playLasting,
+	"large":   playLarge,
+	"gang":    playGang,
 }
 
 func main() {
