--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -23,6 +23,8 @@
 	zone    = "z1"
 	host    = "queue.example"
 	prefix  = "/work/"
+	// urgentPrefix is the path of a queue of the highest priority.
+	urgentPrefix = "/urgent/"
 	// command is the line run of the deploy file.
 	command = "target/gentianpick run"
 )
@@ -38,6 +40,7 @@
 	stop      chan struct{}
 
 	mu      sync.Mutex
+	urgent  map[string]bool    // jobs of the urgent queue
 	workers map[string]*worker // by place
 	lives   int
 }
@@ -58,7 +61,7 @@
 		return nil, err
 	}
 	c := &cluster{
-		rec: rec, dir: dir, runs: &runLog{rec: rec}, stop: make(chan struct{}), workers: map[string]*worker{},
+		rec: rec, dir: dir, runs: &runLog{rec: rec}, stop: make(chan struct{}), urgent: map[string]bool{}, workers: map[string]*worker{},
 		network: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
 	}
 	c.store = newStore(rec)
@@ -81,6 +84,9 @@
 		"routes": []map[string]any{{
 			"name": "work", "host": host, "pathPrefix": prefix, "service": service, "timeoutMs": 3000, "targetLatencyMs": 1000,
 			"priority": priority, "maxAttempts": attempts, "stretch": 2.0,
+		}, {
+			"name": "urgent", "host": host, "pathPrefix": urgentPrefix, "service": service, "timeoutMs": 3000, "targetLatencyMs": 250,
+			"priority": 0, "maxAttempts": 2, "stretch": 1.5,
 		}},
 		"services": []map[string]any{{"name": service, "maxConns": 64, "rejectsOverload": false}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
@@ -271,11 +277,28 @@
 	return errTimeout
 }
 
+// path returns the path of a job.
+func (c *cluster) path(job string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.urgent[job] {
+		return urgentPrefix + job
+	}
+	return prefix + job
+}
+
+// setUrgent has a job belong to the urgent queue.
+func (c *cluster) setUrgent(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.urgent[job] = true
+}
+
 // call sends a caller's request to an instance. The status is 0 if there was no answer.
 func (c *cluster) call(in *instance, method, job, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.front+prefix+job, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.front+c.path(job), bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, err.Error()
 	}
