--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -25,6 +25,8 @@
 	prefix  = "/work/"
 	// urgentPrefix is the path of a queue of the highest priority.
 	urgentPrefix = "/urgent/"
+	// batchPrefix is the path of a queue of the lowest priority.
+	batchPrefix = "/batch/"
 	// command is the line run of the deploy file.
 	command = "target/gentianpick run"
 )
@@ -41,6 +43,7 @@
 
 	mu      sync.Mutex
 	urgent  map[string]bool    // jobs of the urgent queue
+	batch   map[string]bool    // jobs of the batch queue
 	workers map[string]*worker // by place
 	lives   int
 }
@@ -61,7 +64,7 @@
 		return nil, err
 	}
 	c := &cluster{
-		rec: rec, dir: dir, runs: &runLog{rec: rec}, stop: make(chan struct{}), urgent: map[string]bool{}, workers: map[string]*worker{},
+		rec: rec, dir: dir, runs: &runLog{rec: rec}, stop: make(chan struct{}), urgent: map[string]bool{}, batch: map[string]bool{}, workers: map[string]*worker{},
 		network: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
 	}
 	c.store = newStore(rec)
@@ -87,6 +90,9 @@
 		}, {
 			"name": "urgent", "host": host, "pathPrefix": urgentPrefix, "service": service, "timeoutMs": 3000, "targetLatencyMs": 250,
 			"priority": 0, "maxAttempts": 2, "stretch": 1.5,
+		}, {
+			"name": "batch", "host": host, "pathPrefix": batchPrefix, "service": service, "timeoutMs": 3000, "targetLatencyMs": 3000,
+			"priority": 2, "maxAttempts": 4, "stretch": 4.0,
 		}},
 		"services": []map[string]any{{"name": service, "maxConns": 64, "rejectsOverload": false}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
@@ -284,6 +290,9 @@
 	if c.urgent[job] {
 		return urgentPrefix + job
 	}
+	if c.batch[job] {
+		return batchPrefix + job
+	}
 	return prefix + job
 }
 
@@ -294,6 +303,13 @@
 	c.urgent[job] = true
 }
 
+// setBatch has a job belong to the batch queue.
+func (c *cluster) setBatch(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batch[job] = true
+}
+
 // call sends a caller's request to an instance. The status is 0 if there was no answer.
 func (c *cluster) call(in *instance, method, job, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -18,13 +18,14 @@
 
 // cases are the cases by name. With trouble, a case has its disruption.
 var cases = map[string]func(rec *record, trouble bool) error{
-	"crashes": playCrashes,
-	"gone":    playGone,
 	"owners":  playOwners,
 	"cancel":  playCancel,
 	"lasting": playLasting,
 	"large":   playLarge,
 	"gang":    playGang,
+	// Further faults, which are no cases.
+	"below": playBelow,
+	"gone":  playGone,
 }
 
 func main() {
