--- a/review/standin3/cluster.go
+++ b/review/standin3/cluster.go
@@ -22,7 +22,7 @@
 	service = "hoopworks"
 	zone    = "z1"
 	host    = "queue.example"
-	prefix  = "/work/"
+	prefix  = "/jobs/"
 	// urgentPrefix is the path of a queue of the highest priority.
 	urgentPrefix = "/urgent/"
 	// batchPrefix is the path of a queue of the lowest priority.
